Add membership and commits with a definite outcome

Cause: a write answer can be lost after the write took effect, and a daemon must tell live peers from ones that are only mentioned.

Change: packages/membership; commitDefinitely() sends the identical transaction again until the outcome is definite and reads a witness row back.

--- /dev/null
+++ b/packages/membership/memberlist_test.cpp
@@ -0,0 +1,71 @@
+#include "membership/memberlist.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+using std::chrono::seconds;
+
+namespace {
+
+MemberInfo member(const char *name, const char *domain, std::uint64_t incarnation = 1)
+{
+    return {.daemon = {name}, .incarnation = incarnation, .failureDomain = {domain}};
+}
+
+MemberList sampleList()
+{
+    return {.self = member("a", "lowell-yard")};
+}
+
+} // namespace
+
+// Guards against a dead daemon being kept alive by peers that still mention it.
+TEST_CASE("a mention does not make a daemon live")
+{
+    MemberList list = sampleList();
+    const TimePoint start {};
+    mention(list, member("b", "lowell-yard"), start);
+    CHECK(liveMembers(list, start).size() == 1);
+    CHECK(hear(list, member("b", "lowell-yard"), start));
+    CHECK(liveMembers(list, start).size() == 2);
+    mention(list, member("b", "lowell-yard"), start + seconds(4));
+    CHECK(liveMembers(list, start + seconds(5)).size() == 1);
+}
+
+// Guards against a late message of an earlier start replacing the address of the current one.
+TEST_CASE("a lower incarnation is ignored and a higher one replaces the entry")
+{
+    MemberList list = sampleList();
+    const TimePoint start {};
+    hear(list, member("b", "lowell-yard", 2), start);
+    CHECK_FALSE(hear(list, member("b", "worcester-depot", 1), start));
+    CHECK(list.others.at({"b"}).info.failureDomain.value == "lowell-yard");
+    mention(list, member("b", "lowell-yard", 3), start + seconds(1));
+    CHECK(liveMembers(list, start + seconds(1)).size() == 1);
+}
+
+// Guards against a single delayed heartbeat dropping a member of another failure domain.
+TEST_CASE("members of other failure domains may be silent for longer")
+{
+    MemberList list = sampleList();
+    const TimePoint start {};
+    hear(list, member("b", "lowell-yard"), start);
+    hear(list, member("c", "worcester-depot"), start);
+    const auto live = liveMembers(list, start + seconds(6));
+    REQUIRE(live.size() == 2);
+    CHECK(live[1].daemon.value == "c");
+}
+
+TEST_CASE("heartbeats are due by period, and silent daemons are forgotten")
+{
+    MemberList list = sampleList();
+    const TimePoint start {};
+    mention(list, member("b", "lowell-yard"), start);
+    mention(list, member("c", "worcester-depot"), start);
+    CHECK(dueHeartbeats(list, start).size() == 2);
+    CHECK(dueHeartbeats(list, start).empty());
+    CHECK(dueHeartbeats(list, start + seconds(1)).size() == 1);
+    CHECK(dueHeartbeats(list, start + seconds(5)).size() == 2);
+    CHECK(forgetSilent(list, start + seconds(121)).size() == 2);
+    CHECK(list.others.empty());
+}
--- /dev/null
+++ b/packages/platform/definitecommit_test.cpp
@@ -0,0 +1,101 @@
+#include "kernel/pluginregistry.h"
+#include "platform/definitecommit.h"
+#include "runtime/eventloop.h"
+
+#include <doctest/doctest.h>
+#include <future>
+
+using namespace acaciadeal;
+
+namespace {
+
+enum class Fault { None, LoseAnswer, LoseRequest, Refuse };
+
+/// In-memory platform whose commits suffer the given faults, one after another.
+PlatformAdapter faultyPlatform(EventLoop &loop, std::vector<Fault> faults)
+{
+    const auto plugin = PluginRegistry<PlatformPlugin>::instance().find("memory");
+    REQUIRE(plugin);
+    PlatformAdapter adapter = plugin->create(loop, {});
+    auto remaining = std::make_shared<std::vector<Fault>>(faults.rbegin(), faults.rend());
+    adapter.commit = [remaining, inner = adapter.commit](const Transaction &transaction,
+                                                         const CommitCallback &callback) {
+        Fault fault = Fault::None;
+        if (!remaining->empty()) {
+            fault = remaining->back();
+            remaining->pop_back();
+        }
+        const Result<CommitVersions> lost = failure(ResultCode::WriteOutcomeUnknown, "lost");
+        switch (fault) {
+        case Fault::None:
+            inner(transaction, callback);
+            break;
+        case Fault::LoseAnswer:
+            inner(transaction, [callback, lost](const auto &) { callback(lost); });
+            break;
+        case Fault::LoseRequest:
+            callback(lost);
+            break;
+        case Fault::Refuse:
+            callback(failure(ResultCode::PlatformUnavailable, "refused"));
+            break;
+        }
+    };
+    return adapter;
+}
+
+Result<CommitVersions> run(EventLoop &loop, const PlatformAdapter &platform,
+                           const std::string &value, std::function<bool()> keepTrying)
+{
+    std::promise<Result<CommitVersions>> outcome;
+    loop.post([&] {
+        commitDefinitely(
+            loop, platform, {.checks = {{"row", 0}}, .puts = {{"row", value}}}, "row",
+            {.retryDelay = milliseconds(1), .keepTrying = std::move(keepTrying)},
+            [&outcome](Result<CommitVersions> result) { outcome.set_value(std::move(result)); });
+    });
+    return outcome.get_future().get();
+}
+
+bool always()
+{
+    return true;
+}
+
+} // namespace
+
+// Guards against a committed write being reported as failed because its answer was lost.
+TEST_CASE("a write whose answers are lost is found to be committed")
+{
+    EventLoop loop({.threads = 1});
+    const auto platform = faultyPlatform(
+        loop, {Fault::LoseRequest, Fault::LoseAnswer, Fault::LoseAnswer, Fault::Refuse});
+    const auto result = run(loop, platform, "mine", always);
+    REQUIRE(result);
+    CHECK(result->at("row") > 0);
+}
+
+// Guards against taking another writer's row for one's own.
+TEST_CASE("a write that lost the race fails, also after a lost answer")
+{
+    EventLoop loop({.threads = 1});
+    const auto platform = faultyPlatform(loop, {Fault::None, Fault::LoseRequest});
+    REQUIRE(run(loop, platform, "theirs", always));
+    const auto result = run(loop, platform, "mine", always);
+    REQUIRE_FALSE(result);
+    CHECK(result.error().code == ResultCode::CheckFailed);
+}
+
+// Guards against "not written" being reported for a write that may take effect later.
+TEST_CASE("a write that was handed over once is never reported as unavailable")
+{
+    EventLoop loop({.threads = 1});
+    int attempts = 0;
+    const auto platform = faultyPlatform(loop, {Fault::LoseRequest, Fault::Refuse, Fault::Refuse});
+    const auto result = run(loop, platform, "mine", [&attempts] { return ++attempts < 3; });
+    REQUIRE_FALSE(result);
+    CHECK(result.error().code == ResultCode::WriteOutcomeUnknown);
+
+    const auto refused = faultyPlatform(loop, {Fault::Refuse});
+    CHECK(run(loop, refused, "mine", always).error().code == ResultCode::PlatformUnavailable);
+}
