Add shard state: all-or-nothing apply and a checked codec

Cause: the state package has headers only, so nothing can be recovered or replayed.

Change: apply() keeps an undo list of the touched tasks and hosts, so a refused entry costs no copy of the state. Task gets the field moves: the tasks of a job arrive in another shard one by one, and the job id alone would drop all but the first.

--- a/packages/state/change.h
+++ b/packages/state/change.h
@@ -9,7 +9,9 @@
 
 namespace acaciadeal {
 
-/// Adds a job and its tasks to the queue. Applying it again for a known job changes nothing.
+/// Adds a job and its tasks to the queue. Submitted tasks (moves = 0) of a known job change
+/// nothing. A task from another shard (moves > 0) is added unless this shard has seen the same
+/// move, because the tasks of a job may arrive one by one and may return to a shard that they left.
 struct JobAccepted
 {
     JobId job;
@@ -20,7 +22,8 @@
     friend bool operator==(const JobAccepted &, const JobAccepted &) = default;
 };
 
-/// Adds a host, or changes its capacity or whether it takes new tasks.
+/// Adds a host, or changes its capacity or whether it takes new tasks. Precondition: the new
+/// capacity covers what is committed.
 struct HostUpdated
 {
     HostId host;
@@ -65,7 +68,8 @@
     friend bool operator==(const TaskReleased &, const TaskReleased &) = default;
 };
 
-/// Cancels a waiting task at once, and marks a placed one for stopping.
+/// Cancels a waiting task at once, and marks a placed one for stopping. Has no effect on an ended
+/// task, because the cancellation may share an entry with the task's last release.
 struct TaskCancelled
 {
     TaskId task;
@@ -82,7 +86,8 @@
     friend bool operator==(const TaskRejected &, const TaskRejected &) = default;
 };
 
-/// Hands a waiting task to another shard.
+/// Hands a waiting task to another shard. The same transaction has to store movedTask() in that
+/// shard's inbox.
 struct TaskMoved
 {
     TaskId task;
--- /dev/null
+++ b/packages/state/codec.cpp
@@ -0,0 +1,471 @@
+#include "state/codec.h"
+
+#include "state/generated/logentry_generated.h"
+#include "state/generated/snapshot_generated.h"
+
+#include <boost/crc.hpp>
+#include <optional>
+#include <utility>
+
+namespace acaciadeal {
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+// Layout: magic, format version, CRC-32 of the payload, payload length (4 bytes each, little
+// endian), FlatBuffers payload.
+constexpr std::size_t headerSize = 16;
+constexpr std::uint32_t formatVersion = 1;
+constexpr std::string_view logEntryMagic = "ADLE";
+constexpr std::string_view snapshotMagic = "ADSN";
+constexpr std::string_view tasksMagic = "ADTK";
+
+std::uint32_t checksum(const void *data, std::size_t size)
+{
+    boost::crc_32_type crc;
+    crc.process_bytes(data, size);
+    return crc.checksum();
+}
+
+void putNumber(std::string &bytes, std::uint32_t value)
+{
+    for (unsigned shift = 0; shift < 32; shift += 8) {
+        bytes += static_cast<char>(value >> shift & 0xff);
+    }
+}
+
+std::uint32_t numberAt(std::string_view bytes, std::size_t position)
+{
+    std::uint32_t value = 0;
+    for (std::size_t n = 0; n < 4; ++n) {
+        value |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[position + n]))
+                 << (8 * n);
+    }
+    return value;
+}
+
+std::string seal(std::string_view magic, const FlatBufferBuilder &builder)
+{
+    std::string bytes;
+    bytes.reserve(headerSize + builder.GetSize());
+    bytes += magic;
+    putNumber(bytes, formatVersion);
+    putNumber(bytes, checksum(builder.GetBufferPointer(), builder.GetSize()));
+    putNumber(bytes, builder.GetSize());
+    bytes.append(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+    return bytes;
+}
+
+/// Returns an aligned copy of the payload after checking everything in front of it.
+Result<std::vector<std::uint8_t>> unseal(std::string_view magic, std::string_view bytes,
+                                         ResultCode corrupt)
+{
+    if (bytes.size() < headerSize || bytes.substr(0, magic.size()) != magic) {
+        return failure(corrupt, "the header is missing or truncated");
+    }
+    if (const auto version = numberAt(bytes, 4); version != formatVersion) {
+        return failure(ResultCode::UnsupportedFormat,
+                       "format version " + std::to_string(version) + " is not supported");
+    }
+    const std::string_view payload = bytes.substr(headerSize);
+    if (payload.size() != numberAt(bytes, 12)) {
+        return failure(corrupt, "the payload has " + std::to_string(payload.size()) + " of "
+                                    + std::to_string(numberAt(bytes, 12)) + " bytes");
+    }
+    if (checksum(payload.data(), payload.size()) != numberAt(bytes, 8)) {
+        return failure(corrupt, "the checksum does not match");
+    }
+    return std::vector<std::uint8_t>(payload.begin(), payload.end());
+}
+
+template<typename Table>
+bool verify(const std::vector<std::uint8_t> &payload)
+{
+    // A table takes at least 4 bytes, so this bound only keeps large snapshots readable.
+    flatbuffers::Verifier verifier(payload.data(), payload.size(), 64,
+                                   static_cast<flatbuffers::uoffset_t>(payload.size()));
+    return verifier.VerifyBuffer<Table>(nullptr);
+}
+
+std::string textOf(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+/// Offset of a string, or none for an empty one, which saves its space.
+Offset<flatbuffers::String> packText(FlatBufferBuilder &builder, const std::string &text)
+{
+    return text.empty() ? Offset<flatbuffers::String>() : builder.CreateString(text);
+}
+
+/// Like packText(), for values that are frequent within one buffer.
+Offset<flatbuffers::String> packShared(FlatBufferBuilder &builder, const std::string &text)
+{
+    return text.empty() ? Offset<flatbuffers::String>() : builder.CreateSharedString(text);
+}
+
+stored::Resources packResources(const Resources &amounts)
+{
+    return {amounts.milliCores, amounts.memoryMiB, amounts.accelerators};
+}
+
+Resources unpackResources(const stored::Resources &amounts)
+{
+    return {.milliCores = amounts.milli_cores(),
+            .memoryMiB = amounts.memory_mib(),
+            .accelerators = amounts.accelerators()};
+}
+
+Offset<stored::Task> packTask(FlatBufferBuilder &builder, const Task &task)
+{
+    const auto id = builder.CreateString(task.spec.id.value);
+    const auto job = builder.CreateSharedString(task.spec.job.value);
+    const auto team = builder.CreateSharedString(task.spec.team.value);
+    const auto payload = packShared(builder, task.spec.payload);
+    const auto host = packShared(builder, task.host.value);
+    const auto checkpoint = packText(builder, task.checkpoint);
+    const auto detail = packText(builder, task.detail);
+    const auto size = packResources(task.spec.size);
+    return stored::CreateTask(
+        builder, id, job, team, static_cast<std::uint8_t>(task.spec.taskClass), &size,
+        task.spec.expectedRunTime.count(), task.spec.deadline.count(), task.spec.maxFailures,
+        payload, static_cast<std::uint8_t>(task.state), task.incarnation, host, checkpoint,
+        task.failures, task.evictions, task.cancelRequested, detail, task.acceptedAs, task.moves);
+}
+
+/// Returns nothing for an enumerator that this version does not know.
+std::optional<Task> unpackTask(const stored::Task &table)
+{
+    if (table.task_class() > static_cast<std::uint8_t>(TaskClass::Batch)
+        || table.state() > static_cast<std::uint8_t>(TaskState::Moved)) {
+        return std::nullopt;
+    }
+    return Task{.spec = {.id = {textOf(table.id())},
+                         .job = {textOf(table.job())},
+                         .team = {textOf(table.team())},
+                         .taskClass = static_cast<TaskClass>(table.task_class()),
+                         .size = unpackResources(*table.size()),
+                         .expectedRunTime = milliseconds(table.expected_run_time_ms()),
+                         .deadline = milliseconds(table.deadline_ms()),
+                         .maxFailures = table.max_failures(),
+                         .payload = textOf(table.payload())},
+                .state = static_cast<TaskState>(table.state()),
+                .incarnation = table.incarnation(),
+                .host = {textOf(table.host())},
+                .checkpoint = textOf(table.checkpoint()),
+                .failures = table.failures(),
+                .evictions = table.evictions(),
+                .cancelRequested = table.cancel_requested(),
+                .detail = textOf(table.detail()),
+                .acceptedAs = table.accepted_as(),
+                .moves = table.moves()};
+}
+
+/// Type and offset of a packed change.
+using PackedChange = std::pair<stored::Change, Offset<void>>;
+
+Offset<stored::JobAccepted> packJob(FlatBufferBuilder &builder, const JobId &job,
+                                    const std::vector<Task> &tasks)
+{
+    std::vector<Offset<stored::Task>> packed;
+    packed.reserve(tasks.size());
+    for (const Task &task : tasks) {
+        packed.push_back(packTask(builder, task));
+    }
+    const auto id = builder.CreateSharedString(job.value);
+    return stored::CreateJobAccepted(builder, id, builder.CreateVector(packed));
+}
+
+struct Packer
+{
+    FlatBufferBuilder &builder;
+
+    PackedChange operator()(const JobAccepted &change) const
+    {
+        return {stored::Change::JobAccepted, packJob(builder, change.job, change.tasks).Union()};
+    }
+
+    PackedChange operator()(const HostUpdated &change) const
+    {
+        const auto host = builder.CreateSharedString(change.host.value);
+        const auto rack = packShared(builder, change.rack.value);
+        const auto capacity = packResources(change.capacity);
+        return {
+            stored::Change::HostUpdated,
+            stored::CreateHostUpdated(builder, host, rack, &capacity, change.acceptsTasks).Union()};
+    }
+
+    PackedChange operator()(const HostRemoved &change) const
+    {
+        const auto host = builder.CreateSharedString(change.host.value);
+        return {stored::Change::HostRemoved, stored::CreateHostRemoved(builder, host).Union()};
+    }
+
+    PackedChange operator()(const TaskPlaced &change) const
+    {
+        const auto task = builder.CreateString(change.task.value);
+        const auto host = builder.CreateSharedString(change.host.value);
+        return {stored::Change::TaskPlaced,
+                stored::CreateTaskPlaced(builder, task, change.incarnation, host).Union()};
+    }
+
+    PackedChange operator()(const TaskReleased &change) const
+    {
+        const auto task = builder.CreateString(change.task.value);
+        const auto checkpoint = packText(builder, change.checkpoint);
+        const auto detail = packShared(builder, change.detail);
+        return {stored::Change::TaskReleased,
+                stored::CreateTaskReleased(builder, task, change.incarnation,
+                                           static_cast<std::uint8_t>(change.reason), checkpoint,
+                                           detail)
+                    .Union()};
+    }
+
+    PackedChange operator()(const TaskCancelled &change) const
+    {
+        const auto task = builder.CreateString(change.task.value);
+        return {stored::Change::TaskCancelled, stored::CreateTaskCancelled(builder, task).Union()};
+    }
+
+    PackedChange operator()(const TaskRejected &change) const
+    {
+        const auto task = builder.CreateString(change.task.value);
+        const auto reason = packShared(builder, change.reason);
+        return {stored::Change::TaskRejected,
+                stored::CreateTaskRejected(builder, task, reason).Union()};
+    }
+
+    PackedChange operator()(const TaskMoved &change) const
+    {
+        const auto task = builder.CreateString(change.task.value);
+        const auto shard = builder.CreateSharedString(change.toShard.value);
+        return {stored::Change::TaskMoved, stored::CreateTaskMoved(builder, task, shard).Union()};
+    }
+};
+
+std::optional<JobAccepted> unpackJob(const stored::JobAccepted &table)
+{
+    JobAccepted change{.job = {textOf(table.job())}, .tasks = {}};
+    if (table.tasks() != nullptr) {
+        for (const stored::Task *const packed : *table.tasks()) {
+            auto task = unpackTask(*packed);
+            if (!task) {
+                return std::nullopt;
+            }
+            change.tasks.push_back(std::move(*task));
+        }
+    }
+    return change;
+}
+
+std::optional<Change> unpackChange(stored::Change type, const void *table)
+{
+    switch (type) {
+    case stored::Change::JobAccepted:
+        return unpackJob(*static_cast<const stored::JobAccepted *>(table));
+    case stored::Change::HostUpdated: {
+        const auto &change = *static_cast<const stored::HostUpdated *>(table);
+        return HostUpdated{.host = {textOf(change.host())},
+                           .rack = {textOf(change.rack())},
+                           .capacity = unpackResources(*change.capacity()),
+                           .acceptsTasks = change.accepts_tasks()};
+    }
+    case stored::Change::HostRemoved:
+        return HostRemoved{{textOf(static_cast<const stored::HostRemoved *>(table)->host())}};
+    case stored::Change::TaskPlaced: {
+        const auto &change = *static_cast<const stored::TaskPlaced *>(table);
+        return TaskPlaced{.task = {textOf(change.task())},
+                          .incarnation = change.incarnation(),
+                          .host = {textOf(change.host())}};
+    }
+    case stored::Change::TaskReleased: {
+        const auto &change = *static_cast<const stored::TaskReleased *>(table);
+        if (change.reason() > static_cast<std::uint8_t>(ReleaseReason::Cancelled)) {
+            return std::nullopt;
+        }
+        return TaskReleased{.task = {textOf(change.task())},
+                            .incarnation = change.incarnation(),
+                            .reason = static_cast<ReleaseReason>(change.reason()),
+                            .checkpoint = textOf(change.checkpoint()),
+                            .detail = textOf(change.detail())};
+    }
+    case stored::Change::TaskCancelled:
+        return TaskCancelled{{textOf(static_cast<const stored::TaskCancelled *>(table)->task())}};
+    case stored::Change::TaskRejected: {
+        const auto &change = *static_cast<const stored::TaskRejected *>(table);
+        return TaskRejected{{textOf(change.task())}, textOf(change.reason())};
+    }
+    case stored::Change::TaskMoved: {
+        const auto &change = *static_cast<const stored::TaskMoved *>(table);
+        return TaskMoved{{textOf(change.task())}, {textOf(change.to_shard())}};
+    }
+    case stored::Change::NONE:
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeLogEntry(const LogEntry &entry)
+{
+    FlatBufferBuilder builder(4096);
+    std::vector<stored::Change> types;
+    std::vector<Offset<void>> changes;
+    types.reserve(entry.changes.size());
+    changes.reserve(entry.changes.size());
+    for (const Change &change : entry.changes) {
+        const auto [type, offset] = std::visit(Packer{builder}, change);
+        types.push_back(type);
+        changes.push_back(offset);
+    }
+    const auto shard = builder.CreateString(entry.shard.value);
+    const auto transactionId = packText(builder, entry.transactionId);
+    const auto typeVector = builder.CreateVector(types);
+    const auto changeVector = builder.CreateVector(changes);
+    stored::LogEntryBuilder table(builder);
+    table.add_shard(shard);
+    table.add_epoch(entry.epoch);
+    table.add_sequence(entry.sequence);
+    table.add_transaction_id(transactionId);
+    table.add_changes_type(typeVector);
+    table.add_changes(changeVector);
+    builder.Finish(table.Finish());
+    return seal(logEntryMagic, builder);
+}
+
+Result<LogEntry> decodeLogEntry(std::string_view bytes)
+{
+    const auto payload = unseal(logEntryMagic, bytes, ResultCode::TornEntry);
+    if (!payload) {
+        return tl::make_unexpected(payload.error());
+    }
+    if (!verify<stored::LogEntry>(*payload)) {
+        return failure(ResultCode::TornEntry, "the log entry fails verification");
+    }
+    const auto &table = *flatbuffers::GetRoot<stored::LogEntry>(payload->data());
+    LogEntry entry{.shard = {textOf(table.shard())},
+                   .epoch = table.epoch(),
+                   .sequence = table.sequence(),
+                   .transactionId = textOf(table.transaction_id()),
+                   .changes = {}};
+    const std::size_t count = table.changes() == nullptr ? 0 : table.changes()->size();
+    entry.changes.reserve(count);
+    for (std::size_t n = 0; n < count; ++n) {
+        const auto index = static_cast<flatbuffers::uoffset_t>(n);
+        auto change = unpackChange(table.changes_type()->GetEnum<stored::Change>(index),
+                                   table.changes()->Get(index));
+        if (!change) {
+            return failure(ResultCode::UnsupportedFormat,
+                           "change " + std::to_string(n) + " of the log entry is not known");
+        }
+        entry.changes.push_back(std::move(*change));
+    }
+    return entry;
+}
+
+std::string encodeSnapshot(const ShardState &state)
+{
+    FlatBufferBuilder builder(1 << 20);
+    std::vector<Offset<stored::Task>> tasks;
+    tasks.reserve(state.tasks.size());
+    for (const auto &[id, task] : state.tasks) {
+        tasks.push_back(packTask(builder, task));
+    }
+    std::vector<Offset<stored::Host>> hosts;
+    hosts.reserve(state.hosts.size());
+    for (const auto &[id, host] : state.hosts) {
+        const auto name = builder.CreateSharedString(id.value);
+        const auto rack = packShared(builder, host.rack.value);
+        const auto capacity = packResources(host.capacity);
+        hosts.push_back(stored::CreateHost(builder, name, rack, &capacity, host.acceptsTasks));
+    }
+    std::vector<Offset<flatbuffers::String>> jobs;
+    jobs.reserve(state.jobs.size());
+    for (const JobId &job : state.jobs) {
+        jobs.push_back(builder.CreateSharedString(job.value));
+    }
+    const auto shard = builder.CreateString(state.shard.value);
+    const auto domain = packText(builder, state.failureDomain.value);
+    const auto taskVector = builder.CreateVector(tasks);
+    const auto hostVector = builder.CreateVector(hosts);
+    const auto jobVector = builder.CreateVector(jobs);
+    builder.Finish(stored::CreateSnapshot(builder, shard, domain, state.epoch, state.lastSequence,
+                                          state.lastAcceptedAs, taskVector, hostVector, jobVector));
+    return seal(snapshotMagic, builder);
+}
+
+Result<ShardState> decodeSnapshot(std::string_view bytes)
+{
+    const auto payload = unseal(snapshotMagic, bytes, ResultCode::CorruptSnapshot);
+    if (!payload) {
+        return tl::make_unexpected(payload.error());
+    }
+    if (!verify<stored::Snapshot>(*payload)) {
+        return failure(ResultCode::CorruptSnapshot, "the snapshot fails verification");
+    }
+    const auto &table = *flatbuffers::GetRoot<stored::Snapshot>(payload->data());
+    ShardState state;
+    state.shard = {textOf(table.shard())};
+    state.failureDomain = {textOf(table.failure_domain())};
+    state.epoch = table.epoch();
+    state.lastSequence = table.last_sequence();
+    state.lastAcceptedAs = table.last_accepted_as();
+    if (table.tasks() != nullptr) {
+        state.tasks.reserve(table.tasks()->size());
+        for (const stored::Task *const packed : *table.tasks()) {
+            auto task = unpackTask(*packed);
+            if (!task) {
+                return failure(ResultCode::UnsupportedFormat,
+                               "a task has an unknown state or class", textOf(packed->id()));
+            }
+            state.tasks.emplace(task->spec.id, std::move(*task));
+        }
+    }
+    if (table.hosts() != nullptr) {
+        for (const stored::Host *const host : *table.hosts()) {
+            const HostId id{textOf(host->id())};
+            state.hosts[id] = HostState{.id = id,
+                                        .rack = {textOf(host->rack())},
+                                        .capacity = unpackResources(*host->capacity()),
+                                        .committed = {},
+                                        .acceptsTasks = host->accepts_tasks(),
+                                        .tasks = {}};
+        }
+    }
+    if (table.jobs() != nullptr) {
+        for (const flatbuffers::String *const job : *table.jobs()) {
+            state.jobs.insert({textOf(job)});
+        }
+    }
+    if (auto derived = deriveIndexes(state); !derived) {
+        return failure(ResultCode::CorruptSnapshot, derived.error().message, derived.error().where);
+    }
+    return state;
+}
+
+std::string encodeTasks(const JobId &job, const std::vector<Task> &tasks)
+{
+    FlatBufferBuilder builder(1024);
+    builder.Finish(packJob(builder, job, tasks));
+    return seal(tasksMagic, builder);
+}
+
+Result<JobAccepted> decodeTasks(std::string_view bytes)
+{
+    const auto payload = unseal(tasksMagic, bytes, ResultCode::TornEntry);
+    if (!payload) {
+        return tl::make_unexpected(payload.error());
+    }
+    if (!verify<stored::JobAccepted>(*payload)) {
+        return failure(ResultCode::TornEntry, "the task list fails verification");
+    }
+    auto change = unpackJob(*flatbuffers::GetRoot<stored::JobAccepted>(payload->data()));
+    if (!change) {
+        return failure(ResultCode::UnsupportedFormat, "a task has an unknown state or class");
+    }
+    return std::move(*change);
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/state/shardstate.cpp
@@ -0,0 +1,484 @@
+#include "state/shardstate.h"
+
+#include <cassert>
+#include <optional>
+#include <utility>
+
+namespace acaciadeal {
+namespace {
+
+tl::unexpected<Error> violated(std::string message, std::string where)
+{
+    return failure(ResultCode::InvariantViolated, std::move(message), std::move(where));
+}
+
+bool isZero(const Resources &amounts)
+{
+    return amounts == Resources{};
+}
+
+/// Adds @p task to the indexes that its state calls for.
+void attach(ShardState &state, const Task &task)
+{
+    if (isWaiting(task.state)) {
+        state.queue.emplace(QueueKey{task.spec.taskClass, task.acceptedAs}, task.spec.id);
+    } else if (task.state == TaskState::Placed) {
+        HostState &host = state.hosts.at(task.host);
+        host.tasks.insert(task.spec.id);
+        host.committed = host.committed + task.spec.size;
+        Resources &team = state.committedByTeam[task.spec.team];
+        team = team + task.spec.size;
+    }
+}
+
+/// Reverses attach().
+void detach(ShardState &state, const Task &task)
+{
+    if (isWaiting(task.state)) {
+        state.queue.erase(QueueKey{task.spec.taskClass, task.acceptedAs});
+    } else if (task.state == TaskState::Placed) {
+        HostState &host = state.hosts.at(task.host);
+        host.tasks.erase(task.spec.id);
+        host.committed = host.committed - task.spec.size;
+        const auto team = state.committedByTeam.find(task.spec.team);
+        team->second = team->second - task.spec.size;
+        if (isZero(team->second)) {
+            state.committedByTeam.erase(team);
+        }
+    }
+}
+
+/// Previous values of everything that an entry has touched, so that a refused entry leaves no trace
+/// at a cost that depends on the entry only.
+class UndoList
+{
+public:
+    explicit UndoList(ShardState &state)
+        : m_state(state)
+        , m_lastAcceptedAs(state.lastAcceptedAs)
+    {
+    }
+
+    void remember(const TaskId &id)
+    {
+        const auto it = m_state.tasks.find(id);
+        m_steps.emplace_back(
+            TaskStep{id, it == m_state.tasks.end() ? std::nullopt : std::optional(it->second)});
+    }
+
+    void remember(const HostId &id)
+    {
+        const auto it = m_state.hosts.find(id);
+        m_steps.emplace_back(
+            HostStep{id, it == m_state.hosts.end() ? std::nullopt : std::optional(it->second)});
+    }
+
+    void rememberNewJob(const JobId &id)
+    {
+        m_steps.emplace_back(id);
+    }
+
+    void rollBack()
+    {
+        for (auto it = m_steps.rbegin(); it != m_steps.rend(); ++it) {
+            std::visit([this](const auto &step) { restore(step); }, *it);
+        }
+        m_steps.clear();
+        m_state.lastAcceptedAs = m_lastAcceptedAs;
+    }
+
+private:
+    struct TaskStep
+    {
+        TaskId id;
+        std::optional<Task> before;
+    };
+    struct HostStep
+    {
+        HostId id;
+        std::optional<HostState> before;
+    };
+
+    void restore(const TaskStep &step)
+    {
+        const auto it = m_state.tasks.find(step.id);
+        assert(it != m_state.tasks.end());
+        detach(m_state, it->second);
+        if (step.before) {
+            it->second = *step.before;
+            attach(m_state, it->second);
+        } else {
+            m_state.tasks.erase(it);
+        }
+    }
+
+    void restore(const HostStep &step)
+    {
+        if (step.before) {
+            m_state.hosts[step.id] = *step.before;
+        } else {
+            m_state.hosts.erase(step.id);
+        }
+    }
+
+    void restore(const JobId &job)
+    {
+        m_state.jobs.erase(job);
+    }
+
+    ShardState &m_state;
+    std::uint64_t m_lastAcceptedAs;
+    std::vector<std::variant<TaskStep, HostStep, JobId>> m_steps;
+};
+
+/// Returns whether @p arriving adds to the state; see JobAccepted.
+bool isNew(const ShardState &state, const JobId &job, const Task &arriving)
+{
+    const auto known = state.tasks.find(arriving.spec.id);
+    if (known != state.tasks.end()) {
+        return known->second.state == TaskState::Moved && arriving.moves > known->second.moves;
+    }
+    return arriving.moves > 0 || !state.jobs.contains(job);
+}
+
+struct Checker
+{
+    const ShardState &state;
+
+    const Task *find(const TaskId &id) const
+    {
+        const auto it = state.tasks.find(id);
+        return it == state.tasks.end() ? nullptr : &it->second;
+    }
+
+    Result<void> requireWaiting(const TaskId &id) const
+    {
+        const Task *const task = find(id);
+        if (task == nullptr) {
+            return violated("the task is not known", id.value);
+        }
+        if (!isWaiting(task->state)) {
+            return violated("the task does not wait", id.value);
+        }
+        return {};
+    }
+
+    Result<void> operator()(const JobAccepted &change) const
+    {
+        std::set<TaskId> seen;
+        for (const Task &task : change.tasks) {
+            if (task.spec.job != change.job || task.spec.id.empty()) {
+                return violated("the task does not belong to the job", task.spec.id.value);
+            }
+            if (!seen.insert(task.spec.id).second) {
+                return violated("the job names the task twice", task.spec.id.value);
+            }
+            if (!isWaiting(task.state) || !task.host.empty()) {
+                return violated("an accepted task has to wait", task.spec.id.value);
+            }
+            if (!isNonNegative(task.spec.size)) {
+                return violated("the size of the task is negative", task.spec.id.value);
+            }
+            const Task *const known = find(task.spec.id);
+            if (known != nullptr && known->spec.job != change.job) {
+                return violated("another job has a task of this name", task.spec.id.value);
+            }
+        }
+        return {};
+    }
+
+    Result<void> operator()(const HostUpdated &change) const
+    {
+        if (change.host.empty() || !isNonNegative(change.capacity)) {
+            return violated("the host has no name or a negative capacity", change.host.value);
+        }
+        const auto it = state.hosts.find(change.host);
+        if (it != state.hosts.end() && !fits(it->second.committed, change.capacity)) {
+            return violated("the new capacity is below the committed amounts", change.host.value);
+        }
+        return {};
+    }
+
+    Result<void> operator()(const HostRemoved &change) const
+    {
+        const auto it = state.hosts.find(change.host);
+        if (it == state.hosts.end()) {
+            return violated("the host is not known", change.host.value);
+        }
+        if (!it->second.tasks.empty()) {
+            return violated("tasks are placed on the host", change.host.value);
+        }
+        return {};
+    }
+
+    Result<void> operator()(const TaskPlaced &change) const
+    {
+        if (auto waiting = requireWaiting(change.task); !waiting) {
+            return waiting;
+        }
+        const Task &task = *find(change.task);
+        if (change.incarnation != task.incarnation + 1) {
+            return violated("the incarnation is not the next one", change.task.value);
+        }
+        const auto host = state.hosts.find(change.host);
+        if (host == state.hosts.end()) {
+            return violated("the host is not known", change.host.value);
+        }
+        if (!host->second.acceptsTasks) {
+            return violated("the host takes no tasks", change.host.value);
+        }
+        if (!fits(task.spec.size, host->second.capacity - host->second.committed)) {
+            return violated("the host would be committed beyond its capacity", change.host.value);
+        }
+        return {};
+    }
+
+    Result<void> operator()(const TaskReleased &change) const
+    {
+        const Task *const task = find(change.task);
+        if (task == nullptr) {
+            return violated("the task is not known", change.task.value);
+        }
+        if (task->state != TaskState::Placed || task->incarnation != change.incarnation) {
+            return violated("the task is not placed under this incarnation", change.task.value);
+        }
+        return {};
+    }
+
+    Result<void> operator()(const TaskCancelled &change) const
+    {
+        if (find(change.task) == nullptr) {
+            return violated("the task is not known", change.task.value);
+        }
+        return {};
+    }
+
+    Result<void> operator()(const TaskRejected &change) const
+    {
+        return requireWaiting(change.task);
+    }
+
+    Result<void> operator()(const TaskMoved &change) const
+    {
+        if (change.toShard.empty() || change.toShard == state.shard) {
+            return violated("a task moves to another shard", change.toShard.value);
+        }
+        return requireWaiting(change.task);
+    }
+};
+
+TaskState stateAfterRelease(const Task &task, ReleaseReason reason)
+{
+    if (reason == ReleaseReason::Finished) {
+        return TaskState::Finished;
+    }
+    if (reason == ReleaseReason::Cancelled || task.cancelRequested) {
+        return TaskState::Cancelled;
+    }
+    if (reason == ReleaseReason::Failed && task.failures >= task.spec.maxFailures) {
+        return TaskState::Failed;
+    }
+    return task.checkpoint.empty() ? TaskState::Queued : TaskState::Evicted;
+}
+
+/// Applies a change that has passed the check.
+struct Applier
+{
+    ShardState &state;
+    UndoList &undo;
+
+    template<typename Update>
+    void update(const TaskId &id, Update apply)
+    {
+        undo.remember(id);
+        Task &task = state.tasks.at(id);
+        detach(state, task);
+        apply(task);
+        attach(state, task);
+    }
+
+    void operator()(const JobAccepted &change)
+    {
+        bool submitted = change.tasks.empty();
+        for (const Task &task : change.tasks) {
+            submitted = submitted || task.moves == 0;
+            if (!isNew(state, change.job, task)) {
+                continue;
+            }
+            undo.remember(task.spec.id);
+            Task &stored = state.tasks[task.spec.id];
+            stored = task;
+            stored.acceptedAs = ++state.lastAcceptedAs;
+            attach(state, stored);
+        }
+        if (submitted && state.jobs.insert(change.job).second) {
+            undo.rememberNewJob(change.job);
+        }
+    }
+
+    void operator()(const HostUpdated &change)
+    {
+        undo.remember(change.host);
+        HostState &host = state.hosts[change.host];
+        host.id = change.host;
+        host.rack = change.rack;
+        host.capacity = change.capacity;
+        host.acceptsTasks = change.acceptsTasks;
+    }
+
+    void operator()(const HostRemoved &change)
+    {
+        undo.remember(change.host);
+        state.hosts.erase(change.host);
+    }
+
+    void operator()(const TaskPlaced &change)
+    {
+        update(change.task, [&](Task &task) {
+            task.state = TaskState::Placed;
+            task.incarnation = change.incarnation;
+            task.host = change.host;
+        });
+    }
+
+    void operator()(const TaskReleased &change)
+    {
+        update(change.task, [&](Task &task) {
+            if (!change.checkpoint.empty()) {
+                task.checkpoint = change.checkpoint;
+            }
+            task.failures += change.reason == ReleaseReason::Failed ? 1 : 0;
+            task.evictions += change.reason == ReleaseReason::Evicted ? 1 : 0;
+            task.state = stateAfterRelease(task, change.reason);
+            task.detail = change.detail;
+            task.host = {};
+        });
+    }
+
+    void operator()(const TaskCancelled &change)
+    {
+        if (isEnded(state.tasks.at(change.task).state)) {
+            return;
+        }
+        update(change.task, [](Task &task) {
+            task.cancelRequested = true;
+            if (isWaiting(task.state)) {
+                task.state = TaskState::Cancelled;
+            }
+        });
+    }
+
+    void operator()(const TaskRejected &change)
+    {
+        update(change.task, [&](Task &task) {
+            task.state = TaskState::Impossible;
+            task.detail = change.reason;
+        });
+    }
+
+    void operator()(const TaskMoved &change)
+    {
+        update(change.task, [&](Task &task) {
+            task.state = TaskState::Moved;
+            task.detail = change.toShard.value;
+            ++task.moves;
+        });
+    }
+};
+
+Result<void> checkOrder(const ShardState &state, const LogEntry &entry)
+{
+    const std::string where = entry.shard.value + "/" + std::to_string(entry.sequence);
+    if (entry.shard != state.shard) {
+        return failure(ResultCode::ForeignEpoch, "the entry belongs to another shard", where);
+    }
+    if (entry.sequence <= state.lastSequence) {
+        return failure(ResultCode::RepeatedEntry, "the entry has been applied before", where);
+    }
+    if (entry.sequence != state.lastSequence + 1) {
+        return failure(ResultCode::MissingEntry,
+                       "entry " + std::to_string(state.lastSequence + 1) + " is missing", where);
+    }
+    if (entry.epoch < state.epoch) {
+        return failure(ResultCode::ForeignEpoch,
+                       "the entry has epoch " + std::to_string(entry.epoch) + " after epoch "
+                           + std::to_string(state.epoch),
+                       where);
+    }
+    return {};
+}
+
+} // namespace
+
+bool isWaiting(TaskState state)
+{
+    return state == TaskState::Queued || state == TaskState::Evicted;
+}
+
+bool isEnded(TaskState state)
+{
+    return !isWaiting(state) && state != TaskState::Placed;
+}
+
+Task movedTask(const Task &task)
+{
+    Task moved = task;
+    ++moved.moves;
+    moved.detail.clear();
+    return moved;
+}
+
+Result<void> check(const ShardState &state, const Change &change)
+{
+    return std::visit(Checker{state}, change);
+}
+
+Result<void> apply(ShardState &state, const LogEntry &entry)
+{
+    if (auto inOrder = checkOrder(state, entry); !inOrder) {
+        return inOrder;
+    }
+    UndoList undo(state);
+    Applier applier{state, undo};
+    for (const Change &change : entry.changes) {
+        if (auto valid = check(state, change); !valid) {
+            undo.rollBack();
+            return valid;
+        }
+        std::visit(applier, change);
+    }
+    state.epoch = entry.epoch;
+    state.lastSequence = entry.sequence;
+    return {};
+}
+
+Result<void> deriveIndexes(ShardState &state)
+{
+    state.queue.clear();
+    state.committedByTeam.clear();
+    for (auto &[id, host] : state.hosts) {
+        host.committed = {};
+        host.tasks.clear();
+    }
+    for (const auto &[id, task] : state.tasks) {
+        if (task.state == TaskState::Placed && !state.hosts.contains(task.host)) {
+            return violated("the task is placed on an unknown host", id.value);
+        }
+        attach(state, task);
+    }
+    for (const auto &[id, host] : state.hosts) {
+        if (!fits(host.committed, host.capacity)) {
+            return violated("the host is committed beyond its capacity", id.value);
+        }
+    }
+    return {};
+}
+
+void forgetEnded(ShardState &state, std::uint64_t acceptedBefore)
+{
+    std::erase_if(state.tasks, [acceptedBefore](const auto &entry) {
+        return entry.second.acceptedAs < acceptedBefore && isEnded(entry.second.state);
+    });
+}
+
+} // namespace acaciadeal
--- a/packages/state/shardstate.h
+++ b/packages/state/shardstate.h
@@ -62,6 +62,19 @@
 /// Checks one change against the state without applying it. Errors: InvariantViolated.
 Result<void> check(const ShardState &state, const Change &change);
 
+/// Returns whether a task in @p state waits for a placement.
+bool isWaiting(TaskState state);
+
+/// Returns whether @p state is final for the shard.
+bool isEnded(TaskState state);
+
+/// Returns @p task as it enters the shard to which a TaskMoved change hands it.
+Task movedTask(const Task &task);
+
+/// Recomputes the queue and the committed amounts from tasks and hosts. Errors: InvariantViolated
+/// (a task is placed on an unknown host, or a host is committed beyond its capacity).
+Result<void> deriveIndexes(ShardState &state);
+
 /// Removes ended tasks accepted before @p acceptedBefore, to bound the memory of the shard. A job
 /// id stays known, so that a repeated submission is still recognized.
 void forgetEnded(ShardState &state, std::uint64_t acceptedBefore);
--- /dev/null
+++ b/packages/state/shardstate_test.cpp
@@ -0,0 +1,253 @@
+#include "state/shardstate.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+Task makeTask(const std::string &id, TaskClass taskClass = TaskClass::Batch,
+              Resources size = {1000, 1000, 0})
+{
+    return {
+        .spec = {
+            .id = {id}, .job = {"job"}, .team = {"crews"}, .taskClass = taskClass, .size = size}};
+}
+
+LogEntry entryOf(const ShardState &state, std::vector<Change> changes)
+{
+    return {.shard = state.shard,
+            .epoch = state.epoch,
+            .sequence = state.lastSequence + 1,
+            .transactionId = "t",
+            .changes = std::move(changes)};
+}
+
+ShardState makeState()
+{
+    ShardState state;
+    state.shard = {"lowell-yard"};
+    state.epoch = 3;
+    REQUIRE(apply(state, entryOf(state, {HostUpdated{{"h1"}, {"r1"}, {4000, 4000, 1}},
+                                         HostUpdated{{"h2"}, {"r2"}, {4000, 4000, 0}},
+                                         JobAccepted{{"job"}, {makeTask("a"), makeTask("b")}}})));
+    return state;
+}
+
+void checkSame(const ShardState &a, const ShardState &b)
+{
+    CHECK(a.epoch == b.epoch);
+    CHECK(a.lastSequence == b.lastSequence);
+    CHECK(a.lastAcceptedAs == b.lastAcceptedAs);
+    CHECK(a.tasks == b.tasks);
+    CHECK(a.hosts == b.hosts);
+    CHECK(a.jobs == b.jobs);
+    CHECK(a.queue == b.queue);
+    CHECK(a.committedByTeam == b.committedByTeam);
+}
+
+} // namespace
+
+// Guards against an entry being applied twice when the answer to its write was lost.
+TEST_CASE("a repeated entry is refused")
+{
+    ShardState state = makeState();
+    const LogEntry entry = entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}});
+    REQUIRE(apply(state, entry));
+    const ShardState before = state;
+    CHECK(apply(state, entry).error().code == ResultCode::RepeatedEntry);
+    checkSame(state, before);
+}
+
+// Guards against recovery skipping an entry that was not read.
+TEST_CASE("a gap is refused")
+{
+    ShardState state = makeState();
+    LogEntry entry = entryOf(state, {});
+    ++entry.sequence;
+    CHECK(apply(state, entry).error().code == ResultCode::MissingEntry);
+}
+
+// Guards against a deposed holder's entry, or one of another shard, changing the state.
+TEST_CASE("a foreign entry is refused")
+{
+    ShardState state = makeState();
+    LogEntry older = entryOf(state, {});
+    older.epoch = 2;
+    CHECK(apply(state, older).error().code == ResultCode::ForeignEpoch);
+    LogEntry other = entryOf(state, {});
+    other.shard = {"worcester-depot"};
+    CHECK(apply(state, other).error().code == ResultCode::ForeignEpoch);
+}
+
+// Guards against G1: commitments beyond a host's processors, memory or accelerators.
+TEST_CASE("a host is not committed beyond any of its amounts")
+{
+    for (const Resources excess :
+         {Resources{3001, 0, 0}, Resources{0, 3001, 0}, Resources{0, 0, 2}}) {
+        ShardState state = makeState();
+        REQUIRE(apply(state, entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}})));
+        Task large = makeTask("large", TaskClass::Batch, excess);
+        large.spec.job = {"other"};
+        REQUIRE(apply(state, entryOf(state, {JobAccepted{{"other"}, {large}}})));
+        const ShardState before = state;
+        CHECK(apply(state, entryOf(state, {TaskPlaced{{"large"}, 1, {"h1"}}})).error().code
+              == ResultCode::InvariantViolated);
+        checkSame(state, before);
+    }
+}
+
+// Guards against G1 through the other door: a capacity that shrinks below the commitments.
+TEST_CASE("a capacity below the committed amounts is refused")
+{
+    ShardState state = makeState();
+    REQUIRE(apply(state, entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}})));
+    CHECK(apply(state, entryOf(state, {HostUpdated{{"h1"}, {"r1"}, {999, 4000, 1}}})).error().code
+          == ResultCode::InvariantViolated);
+    CHECK(apply(state, entryOf(state, {HostRemoved{{"h1"}}})).error().code
+          == ResultCode::InvariantViolated);
+}
+
+// Guards against G2: a task that is placed twice.
+TEST_CASE("a placed task cannot be placed again")
+{
+    ShardState state = makeState();
+    REQUIRE(apply(state, entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}})));
+    for (const std::uint32_t incarnation : {1U, 2U}) {
+        CHECK(apply(state, entryOf(state, {TaskPlaced{{"a"}, incarnation, {"h2"}}})).error().code
+              == ResultCode::InvariantViolated);
+    }
+    CHECK_FALSE(check(state, TaskPlaced{{"b"}, 2, {"h2"}}));
+}
+
+// Guards against G3: evicted work that resumes twice, or without its checkpoint.
+TEST_CASE("evicted work resumes exactly once")
+{
+    ShardState state = makeState();
+    const TaskReleased release{{"a"}, 1, ReleaseReason::Evicted, "c1", ""};
+    REQUIRE(apply(state, entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}})));
+    REQUIRE(apply(state, entryOf(state, {release})));
+    CHECK(state.tasks.at({"a"}).state == TaskState::Evicted);
+    CHECK(state.tasks.at({"a"}).checkpoint == "c1");
+    CHECK(state.tasks.at({"a"}).evictions == 1);
+    CHECK(state.queue.size() == 2);
+    CHECK(apply(state, entryOf(state, {release})).error().code == ResultCode::InvariantViolated);
+    REQUIRE(apply(state, entryOf(state, {TaskPlaced{{"a"}, 2, {"h2"}}})));
+    CHECK(apply(state, entryOf(state, {release})).error().code == ResultCode::InvariantViolated);
+    CHECK(apply(state, entryOf(state, {TaskPlaced{{"a"}, 2, {"h1"}}})).error().code
+          == ResultCode::InvariantViolated);
+    CHECK(state.tasks.at({"a"}).checkpoint == "c1");
+    CHECK(state.hosts.at({"h1"}).committed == Resources{});
+}
+
+// Guards against a refused entry that leaves some of its changes behind.
+TEST_CASE("an entry with one invalid change changes nothing")
+{
+    ShardState state = makeState();
+    REQUIRE(apply(state, entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}})));
+    const ShardState before = state;
+    Task extra = makeTask("c");
+    extra.spec.job = {"extra"};
+    const auto result = apply(
+        state,
+        entryOf(state, {TaskReleased{{"a"}, 1, ReleaseReason::Evicted, "c1", ""},
+                        TaskPlaced{{"a"}, 2, {"h2"}}, HostUpdated{{"h3"}, {"r3"}, {1, 1, 0}},
+                        HostUpdated{{"h2"}, {"r9"}, {9000, 9000, 9}, false},
+                        JobAccepted{{"extra"}, {extra}}, TaskCancelled{{"b"}}, HostRemoved{{"h3"}},
+                        TaskMoved{{"c"}, {"worcester-depot"}}, TaskRejected{{"b"}, "twice"}}));
+    CHECK(result.error().code == ResultCode::InvariantViolated);
+    checkSame(state, before);
+}
+
+TEST_CASE("derived indexes equal those computed from scratch")
+{
+    ShardState state = makeState();
+    REQUIRE(
+        apply(state, entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}, TaskPlaced{{"b"}, 1, {"h1"}}})));
+    REQUIRE(apply(state, entryOf(state, {TaskReleased{{"a"}, 1, ReleaseReason::Failed, "", "x"}})));
+    ShardState derived = state;
+    REQUIRE(deriveIndexes(derived));
+    checkSame(state, derived);
+    CHECK(state.committedByTeam.at({"crews"}) == Resources{1000, 1000, 0});
+}
+
+// Guards against urgent work that waits behind batch work.
+TEST_CASE("the queue is ordered by class, then by acceptance")
+{
+    ShardState state = makeState();
+    Task urgent = makeTask("u", TaskClass::Urgent);
+    Task service = makeTask("s", TaskClass::LatencyCritical);
+    urgent.spec.job = service.spec.job = {"other"};
+    REQUIRE(apply(state, entryOf(state, {JobAccepted{{"other"}, {service, urgent}}})));
+    std::vector<std::string> order;
+    for (const auto &[key, id] : state.queue) {
+        order.push_back(id.value);
+    }
+    CHECK(order == std::vector<std::string>{"u", "s", "a", "b"});
+}
+
+// Guards against a repeated submission that runs a job twice, also after its tasks were forgotten.
+TEST_CASE("a known job is not accepted again")
+{
+    ShardState state = makeState();
+    REQUIRE(apply(state, entryOf(state, {TaskCancelled{{"a"}}})));
+    forgetEnded(state, state.lastAcceptedAs + 1);
+    CHECK_FALSE(state.tasks.contains({"a"}));
+    CHECK(state.tasks.contains({"b"}));
+    REQUIRE(apply(state, entryOf(state, {JobAccepted{{"job"}, {makeTask("a"), makeTask("b")}}})));
+    CHECK(state.tasks.size() == 1);
+    CHECK(state.queue.size() == 1);
+}
+
+// Guards against the loss of a task whose job the shard knows, and against two copies of it.
+TEST_CASE("moved tasks of one job arrive one by one and may return")
+{
+    ShardState state = makeState();
+    const Task away = movedTask(state.tasks.at({"a"}));
+    REQUIRE(apply(state, entryOf(state, {TaskMoved{{"a"}, {"other"}}})));
+    CHECK(state.tasks.at({"a"}).state == TaskState::Moved);
+    const Task back = movedTask(away);
+    for (int n = 0; n < 2; ++n) {
+        REQUIRE(apply(state, entryOf(state, {JobAccepted{{"job"}, {back}}})));
+        CHECK(state.tasks.at({"a"}).state == TaskState::Queued);
+        CHECK(state.queue.size() == 2);
+    }
+    REQUIRE(apply(state, entryOf(state, {JobAccepted{{"job"}, {away}}})));
+    CHECK(state.queue.size() == 2);
+
+    ShardState other;
+    other.shard = {"other"};
+    for (const char *const id : {"a", "b"}) {
+        Task task = makeTask(id);
+        task.moves = 1;
+        REQUIRE(apply(other, entryOf(other, {JobAccepted{{"job"}, {task}}})));
+    }
+    CHECK(other.queue.size() == 2);
+}
+
+// Guards against a cancelled task that is placed again after its stop.
+TEST_CASE("a cancelled task ends on any release")
+{
+    ShardState state = makeState();
+    REQUIRE(apply(state, entryOf(state, {TaskPlaced{{"a"}, 1, {"h1"}}, TaskCancelled{{"a"}},
+                                         TaskCancelled{{"b"}}})));
+    CHECK(state.tasks.at({"a"}).state == TaskState::Placed);
+    CHECK(state.tasks.at({"b"}).state == TaskState::Cancelled);
+    REQUIRE(apply(state, entryOf(state, {TaskReleased{{"a"}, 1, ReleaseReason::HostLost, "", ""},
+                                         TaskCancelled{{"a"}}})));
+    CHECK(state.tasks.at({"a"}).state == TaskState::Cancelled);
+    CHECK(state.queue.empty());
+}
+
+// Guards against a task that fails for ever.
+TEST_CASE("a task is given up after its last allowed failure")
+{
+    ShardState state = makeState();
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        REQUIRE(
+            apply(state, entryOf(state, {TaskPlaced{{"a"}, n, {"h1"}},
+                                         TaskReleased{{"a"}, n, ReleaseReason::Failed, "", "x"}})));
+    }
+    CHECK(state.tasks.at({"a"}).state == TaskState::Failed);
+    CHECK(state.tasks.at({"a"}).detail == "x");
+}
--- a/packages/state/task.h
+++ b/packages/state/task.h
@@ -76,6 +76,9 @@
     std::string detail;
     /// Position in the order of acceptance within the shard.
     std::uint64_t acceptedAs = 0;
+    /// Number of times that the task was handed to another shard. It tells a task that arrives from
+    /// another shard from a repeated submission of its job.
+    std::uint32_t moves = 0;
 
     friend bool operator==(const Task &, const Task &) = default;
 };
