Add the holder's decisions, placement policies and worker messages

Cause: the scheduling package has headers only; nothing places, stops or releases tasks.

Change: propose(), commitProposal(), dueOrders() and onReport() implement sections 2.4 and 2.5 of the design. Sums by host, job and rack are kept, so that a proposal scans hosts and placements but not tasks. The plug-ins first-fit and best-fit are baselines; spread-reserve weighs interference, racks, accelerators, large blocks and headroom. WorkerReport gets leaseRemaining: a new holder otherwise has to assume the longest lease that its predecessor may have granted to a worker that answers.

--- a/packages/scheduling/holder.h
+++ b/packages/scheduling/holder.h
@@ -6,10 +6,13 @@
 #include "scheduling/workermessage.h"
 #include "state/shardstate.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace acaciadeal {
@@ -29,11 +32,15 @@
     std::int64_t clockDriftPpm = 5'000;
     /// Failures of distinct tasks in a row after which a host gets one trial task at a time.
     std::uint32_t probationFailures = 3;
+    /// How long a trial task has to run on a host on probation to count as a success; a service
+    /// never finishes.
+    milliseconds trialPeriod{60'000};
     /// Unanswered orders in a row after which a host gets no new starts.
     std::uint32_t unreachableAfter = 3;
     /// Most tasks that are stopped per second while the failure domain is out.
     std::uint32_t drainPerSecond = 20;
-    /// Most placements per second right after the failure domain came back.
+    /// Most placements in the first second after the failure domain came back; the limit grows by
+    /// the same number every second.
     std::uint32_t refillPerSecond = 50;
     /// Most changes in one log entry; keeps an entry below 64 KB.
     std::size_t maxChangesPerEntry = 400;
@@ -59,6 +66,38 @@
     std::set<TaskId> failedTasks;
     bool confirmedOff = false;
     std::map<TaskRun, RunningTask> running;
+    /// Latest time at which a lease granted by an earlier epoch can end; empty once nothing started
+    /// by an earlier epoch can be running.
+    std::optional<TimePoint> predecessorBound;
+    /// Sequence of the newest orders that the worker has answered.
+    std::uint64_t answeredSequence = 0;
+    /// Only start given to a host on probation, until it ends or outlasts the trial period.
+    std::optional<TaskRun> trial;
+    TimePoint trialStartedAt;
+    /// Whether work waits for a fresh permit of this worker.
+    bool permitWanted = false;
+    /// Runs that the worker reports and that the durable state does not place on it.
+    std::set<TaskRun> strays;
+    std::set<TaskRun> stopsInFlight;
+    /// Stops that the worker has received; they are repeated with renewals only.
+    std::set<TaskRun> stopsDelivered;
+    std::vector<TaskRun> acknowledgedInFlight;
+};
+
+/// Sums over the tasks placed on a host, kept so that a proposal need not scan tasks.
+struct HostLoad
+{
+    Resources batch;
+    Resources latencyCritical;
+    /// Reported by the worker, with a lag.
+    std::int64_t usedMilliCores = 0;
+};
+
+/// Evictions under way to make room for an urgent task.
+struct Preemption
+{
+    HostId host;
+    std::set<TaskRun> victims;
 };
 
 /// Placement that is durable and whose start order has not been answered.
@@ -70,6 +109,10 @@
     std::uint64_t permit = 0;
     TimePoint permitReceivedAt;
     bool sent = false;
+    /// Sequence of the newest orders that carried the start.
+    std::uint64_t sentSequence = 0;
+    /// Whether the start must not be sent any more.
+    bool withdrawn = false;
 };
 
 /// Volatile state of a shard's holder. Used only by the control thread.
@@ -95,6 +138,25 @@
     std::map<HostId, std::vector<TaskRun>> toAcknowledge;
     std::map<TaskId, TimePoint> waitingSince;
     std::set<TaskId> lateReported;
+    /// Runs that provably do not exist and have no result, with the reason that will be recorded.
+    std::map<TaskRun, ReleaseReason> absent;
+    /// Share of its processors that a run should be limited to, in percent.
+    std::map<TaskRun, std::uint32_t> throttles;
+    std::map<TaskId, Preemption> preemptions;
+    std::map<HostId, HostLoad> loads;
+    /// Number of placed tasks by job and rack.
+    std::unordered_map<JobId, std::map<RackId, std::uint32_t>> racksOfJob;
+    /// Placements to stop while the failure domain is out, in this order.
+    std::deque<TaskRun> drainQueue;
+    double drainAllowance = 0;
+    TimePoint drainedAt;
+    /// Placements since the failure domain came back.
+    std::uint64_t refilled = 0;
+    /// Where the scan of the queue goes on if it did not reach the end.
+    std::optional<QueueKey> scanPosition;
+    /// Times at which tasks become late, and the same by task.
+    std::set<std::pair<TimePoint, TaskId>> deadlines;
+    std::map<TaskId, TimePoint> dueAt;
 };
 
 /// Changes to append, and the permits that starts of the entry may use.
@@ -111,17 +173,28 @@
 Holder makeHolder(HolderOptions options, ShardState state, std::uint64_t epoch, TimePoint now);
 
 /// Returns the next changes to append: results of ended runs, lapses, expired starts, placements,
-/// rejections of tasks that can never run. Precondition: no append is in flight.
+/// rejections of tasks that can never run. Nothing is proposed while the platform is unreachable.
+/// Marks evictions that urgent tasks need, and hosts whose permit is needed. The cost grows with
+/// the number of hosts and of placements, not of tasks. Precondition: no append is in flight.
 Proposal propose(Holder &holder, TimePoint now);
 
-/// Applies a proposal that was appended. Errors: those of apply(); the holder must stop then.
+/// Returns TaskMoved changes that distribute the waiting tasks over @p targets in turn, at most
+/// @p limit. Each needs movedTask() in the inbox of its target in the same transaction.
+std::vector<Change> proposeMoves(const Holder &holder, std::span<const ShardId> targets,
+                                 std::size_t limit);
+
+/// Applies a proposal that was appended. @p entry starts with the changes of @p proposal and may go
+/// on with changes of the caller. Errors: those of apply(); the holder must stop then.
 Result<void> commitProposal(Holder &holder, const Proposal &proposal, const LogEntry &entry,
                             TimePoint now);
 
-/// Returns the orders that are due, at most one per worker, and marks them in flight.
+/// Returns the orders that are due, at most one per worker, and marks them in flight. A worker gets
+/// orders once every renewPeriod; earlier only if there is something to start, stop, throttle or
+/// acknowledge, or if waiting work needs a permit (at most every 100 ms).
 std::map<HostId, WorkerOrders> dueOrders(Holder &holder, TimePoint now);
 
-/// Takes in the answer of a worker. @p sentAt is when the orders were sent.
+/// Takes in the answer of a worker, received at @p now. An answer to older orders than the newest
+/// answered ones, or from another epoch, is ignored.
 void onReport(Holder &holder, const HostId &host, const WorkerReport &report, TimePoint now);
 
 /// Records that orders were not answered. They may have been carried out.
@@ -133,6 +206,12 @@
 /// Records an operator's confirmation that a host is powered off.
 void confirmHostOff(Holder &holder, const HostId &host);
 
+/// Limits @p run to @p percent of its declared processors; 100 removes the limit.
+void setThrottle(Holder &holder, const TaskRun &run, std::uint32_t percent);
+
+/// Returns whether @p host gets one trial task at a time after failures of distinct tasks.
+bool isOnProbation(const Holder &holder, const HostId &host);
+
 /// Returns whether no run of this placement can exist any more: see the list of proofs in
 /// docs/design.md, section 2.4.
 bool provablyNotRunning(const Holder &holder, const TaskRun &run, const HostId &host,
--- /dev/null
+++ b/packages/scheduling/placementpolicy_test.cpp
@@ -0,0 +1,104 @@
+#include "kernel/pluginregistry.h"
+#include "scheduling/placementpolicy.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+PlacementPolicy policy(const std::string &name)
+{
+    return PluginRegistry<PlacementPolicy>::instance().find(name).value();
+}
+
+const HostState plainHost{.id = {"h1"}, .rack = {"r1"}, .capacity = {32000, 128000, 0}};
+const HostState acceleratorHost{.id = {"h2"}, .rack = {"r2"}, .capacity = {32000, 128000, 4}};
+
+HostCandidate candidate(Resources available, std::uint32_t sameJobInRack = 0,
+                        double interference = 0)
+{
+    return {&plainHost, available, sameJobInRack, interference};
+}
+
+Task makeTask(TaskClass taskClass, Resources size = {1000, 1000, 0})
+{
+    return {.spec = {.id = {"a"}, .taskClass = taskClass, .size = size}};
+}
+
+constexpr Resources whole{32000, 128000, 0};
+constexpr Resources half{16000, 64000, 0};
+
+} // namespace
+
+// Guards against the linker dropping a policy that only registers itself.
+TEST_CASE("the placement policies are registered")
+{
+    CHECK(PluginRegistry<PlacementPolicy>::instance().names()
+          == std::vector<std::string>{"best-fit", "first-fit", "spread-reserve"});
+}
+
+TEST_CASE("no policy chooses among no candidates")
+{
+    for (const auto &name : PluginRegistry<PlacementPolicy>::instance().names()) {
+        CHECK_FALSE(policy(name).choose({}, makeTask(TaskClass::Batch)));
+    }
+}
+
+TEST_CASE("the baselines choose the first and the fullest host")
+{
+    const std::vector<HostCandidate> candidates{candidate(whole), candidate(half)};
+    CHECK(policy("first-fit").choose(candidates, makeTask(TaskClass::Batch)) == 0U);
+    CHECK(policy("best-fit").choose(candidates, makeTask(TaskClass::Batch)) == 1U);
+}
+
+// Guards against urgent work on a host whose batch work disturbs it.
+TEST_CASE("spread-reserve avoids interference for urgent and latency-critical tasks")
+{
+    const std::vector<HostCandidate> candidates{candidate(whole, 0, 0.8), candidate(half, 0, 0.1)};
+    CHECK(policy("spread-reserve").choose(candidates, makeTask(TaskClass::Urgent)) == 1U);
+    CHECK(policy("spread-reserve").choose(candidates, makeTask(TaskClass::LatencyCritical)) == 1U);
+}
+
+// Guards against the loss of a whole job with one rack.
+TEST_CASE("spread-reserve spreads a job over racks")
+{
+    const std::vector<HostCandidate> candidates{candidate(half, 4), candidate(half, 0)};
+    CHECK(policy("spread-reserve").choose(candidates, makeTask(TaskClass::Batch)) == 1U);
+}
+
+// Guards against small batch tasks breaking up every large free block.
+TEST_CASE("spread-reserve keeps an empty host whole")
+{
+    const std::vector<HostCandidate> candidates{candidate(whole), candidate(half)};
+    CHECK(policy("spread-reserve").choose(candidates, makeTask(TaskClass::Batch)) == 1U);
+}
+
+// Guards against tasks without accelerators blocking hosts that have them.
+TEST_CASE("spread-reserve keeps accelerators for tasks that need them")
+{
+    const Resources withAccelerators{16000, 64000, 4};
+    const std::vector<HostCandidate> candidates{{&acceleratorHost, withAccelerators, 0, 0},
+                                                candidate(whole, 4, 0.9)};
+    CHECK(policy("spread-reserve").choose(candidates, makeTask(TaskClass::Urgent)) == 1U);
+    CHECK(policy("spread-reserve")
+              .choose(std::span(candidates).first(1), makeTask(TaskClass::Batch, {1000, 1000, 1}))
+          == 0U);
+}
+
+// Guards against hosts that are filled to the last core while others have room.
+TEST_CASE("spread-reserve leaves room")
+{
+    const std::vector<HostCandidate> candidates{candidate({1000, 64000, 0}), candidate(half)};
+    CHECK(policy("spread-reserve").choose(candidates, makeTask(TaskClass::Batch)) == 1U);
+}
+
+TEST_CASE("the choice is the same on every call")
+{
+    const std::vector<HostCandidate> candidates{candidate(half), candidate(half), candidate(half)};
+    for (const auto &name : PluginRegistry<PlacementPolicy>::instance().names()) {
+        const auto first = policy(name).choose(candidates, makeTask(TaskClass::Batch));
+        CHECK(first == 0U);
+        CHECK(policy(name).choose(candidates, makeTask(TaskClass::Batch)) == first);
+    }
+}
--- /dev/null
+++ b/packages/scheduling/spreadreserve.cpp
@@ -0,0 +1,67 @@
+#include "kernel/pluginregistry.h"
+#include "scheduling/placementpolicy.h"
+
+#include <algorithm>
+
+namespace acaciadeal {
+namespace {
+
+// Penalties on a common scale: 1 is the harm of a host whose latency-critical work is fully
+// disturbed. Rack spread ranks below interference, because a rack is lost every month or two while
+// interference is permanent. An accelerator held by a task that needs none ranks above both, also
+// with the double weight of interference for urgent and latency-critical tasks.
+constexpr double acceleratorPenalty = 2.5;
+constexpr double rackPenalty = 0.4;
+constexpr double largeBlockPenalty = 0.3;
+constexpr double headroomPenalty = 0.5;
+// Pressure begins at a reported usage of 90%, and reports lag.
+constexpr double headroomFrom = 0.85;
+// Four tasks of a job in one rack count as much as any larger number.
+constexpr std::uint32_t rackSaturation = 4;
+
+double share(std::int64_t part, std::int64_t whole)
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+double penalty(const HostCandidate &candidate, const Task &task)
+{
+    const Resources &capacity = candidate.host->capacity;
+    const Resources left = candidate.available - task.spec.size;
+    const double freeShare = std::min(share(left.milliCores, capacity.milliCores),
+                                      share(left.memoryMiB, capacity.memoryMiB));
+    const bool batch = task.spec.taskClass == TaskClass::Batch;
+
+    double sum = (batch ? 1.0 : 2.0) * candidate.interference;
+    sum += rackPenalty * std::min(candidate.sameJobInRack, rackSaturation) / rackSaturation;
+    if (task.spec.size.accelerators == 0 && candidate.available.accelerators > 0) {
+        sum += acceleratorPenalty;
+    }
+    // A batch task fills a host that is in use already, so that an empty one stays whole for a
+    // large task. Other tasks take the emptier host.
+    sum += largeBlockPenalty * (batch ? freeShare : 1.0 - freeShare);
+    if (1.0 - freeShare > headroomFrom) {
+        sum += headroomPenalty * (1.0 - freeShare - headroomFrom) / (1.0 - headroomFrom);
+    }
+    return sum;
+}
+
+std::optional<std::size_t> spreadReserve(std::span<const HostCandidate> candidates,
+                                         const Task &task)
+{
+    std::optional<std::size_t> best;
+    double lowest = 0;
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        const double sum = penalty(candidates[n], task);
+        if (!best || sum < lowest) {
+            best = n;
+            lowest = sum;
+        }
+    }
+    return best;
+}
+
+const PluginRegistration<PlacementPolicy> registration{"spread-reserve", {&spreadReserve}};
+
+} // namespace
+} // namespace acaciadeal
--- a/packages/scheduling/workermessage.h
+++ b/packages/scheduling/workermessage.h
@@ -5,6 +5,7 @@
 #include "state/task.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -112,6 +113,9 @@
     std::vector<RunningTask> running;
     std::vector<EndedRun> ended;
     std::vector<RefusedStart> refused;
+    /// Longest remaining lease of any running task of the shard when the permit was issued. Without
+    /// it, a new holder has to assume the longest lease that its predecessor may have granted.
+    std::optional<milliseconds> leaseRemaining;
 
     friend bool operator==(const WorkerReport &, const WorkerReport &) = default;
 };
--- /dev/null
+++ b/packages/scheduling/workermessage_test.cpp
@@ -0,0 +1,51 @@
+#include "scheduling/workermessage.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+TEST_CASE("orders and reports survive a round trip")
+{
+    const WorkerOrders orders{
+        .shard = {"lowell-yard"},
+        .epoch = 3,
+        .sequence = 9,
+        .permit = 77,
+        .lease = milliseconds(15'000),
+        .starts = {{{{"a"}, 2}, TaskClass::Urgent, {1000, 512, 1}, milliseconds(5), "p", "c"}},
+        .stops = {{{"b"}, 1}},
+        .throttles = {{{{"c"}, 4}, 50}},
+        .acknowledged = {{{"d"}, 5}}};
+    CHECK(decodeOrders(encodeOrders(orders)).value() == orders);
+    WorkerReport report{.bootId = "boot",
+                        .epoch = 3,
+                        .sequence = 9,
+                        .stale = true,
+                        .permit = 78,
+                        .running = {{{{"a"}, 2}, 900, 400, 50}},
+                        .ended = {{{{"b"}, 1}, RunOutcome::LeaseLapsed, "c1", "x"}},
+                        .refused = {{{{"e"}, 1}, ResultCode::StalePermit}}};
+    CHECK(decodeReport(encodeReport(report)).value() == report);
+    report.leaseRemaining = milliseconds(4'000);
+    CHECK(decodeReport(encodeReport(report)).value() == report);
+}
+
+// Guards against a malformed answer of a worker ending the holder.
+TEST_CASE("malformed messages are errors")
+{
+    for (
+        const char *const text :
+        {"", "{", "[]", "{}", R"({"boot_id":1})",
+         R"({"boot_id":"b","epoch":1,"sequence":1,"stale":false,"permit":1,"running":{},"ended":[],"refused":[]})",
+         R"({"boot_id":"b","epoch":1,"sequence":1,"stale":false,"permit":1,"running":[],"ended":[{"task":"a","incarnation":1,"outcome":"vanished","checkpoint":"","detail":""}],"refused":[]})"}) {
+        CHECK(decodeReport(text).error().code == ResultCode::MalformedRequest);
+        CHECK(decodeOrders(text).error().code == ResultCode::MalformedRequest);
+    }
+}
+
+// Guards against an opaque payload that is not UTF-8 ending the holder.
+TEST_CASE("invalid UTF-8 is replaced")
+{
+    WorkerOrders orders{.starts = {{.run = {{"a"}, 1}, .payload = "\xff"}}};
+    CHECK(decodeOrders(encodeOrders(orders)).value().starts.at(0).payload == "\xef\xbf\xbd");
+}
