Add a benchmark of decisions and state

Cause: the capacity plan needs measured slopes.

Change: decision_bench prints placements per second by policy, and bytes, apply time, replay time and memory by size, from a fixed seed.

--- /dev/null
+++ b/bench/decisions.cpp
@@ -0,0 +1,249 @@
+// Measures the decisions of a shard's holder and the cost of its state, at three sizes. The inputs
+// come from a fixed seed, so two runs decide the same; only the times differ.
+// Usage: decision_bench
+
+#include "kernel/pluginregistry.h"
+#include "scheduling/holder.h"
+#include "state/codec.h"
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <malloc.h>
+#include <random>
+#include <unistd.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct Size
+{
+    int hosts;
+    int tasks;
+};
+
+constexpr Size sizes[] = {{200, 6'600}, {700, 23'000}, {1'400, 46'000}};
+constexpr unsigned seed = 20'260;
+constexpr int hostsPerRack = 11;
+constexpr int teams = 100;
+constexpr int tasksPerJob = 20;
+// Tasks that wait before a measurement begins; the rest are placed to fill the hosts.
+constexpr int measuredTasks = 4'000;
+
+double secondsSince(Clock::time_point start)
+{
+    return std::chrono::duration<double>(Clock::now() - start).count();
+}
+
+/// Resident memory of the process in bytes.
+double residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+/// Name of a fixed width, as identifiers of jobs, tasks and hosts have in practice.
+std::string name(const char *prefix, int number)
+{
+    char buf[48];
+    std::snprintf(buf, sizeof buf, "%s-%06d", prefix, number);
+    return buf;
+}
+
+std::vector<Change> makeHosts(int count)
+{
+    std::vector<Change> changes;
+    for (int n = 0; n < count; ++n) {
+        changes.emplace_back(HostUpdated{{name("worker", n)},
+                                         {name("rack", n / hostsPerRack)},
+                                         {32'000, 125'000, n % 5 == 0 ? 5 : 0}});
+    }
+    return changes;
+}
+
+/// A mix close to the target size: a quarter latency-critical, the rest batch, few urgent tasks.
+std::vector<Change> makeJobs(int count, std::mt19937 &random)
+{
+    std::vector<Change> changes;
+    JobAccepted job;
+    for (int n = 0; n < count; ++n) {
+        if (n % tasksPerJob == 0) {
+            job = {.job = {name("job", n / tasksPerJob)}, .tasks = {}};
+        }
+        const auto draw = random() % 100;
+        const TaskClass taskClass = draw < 2    ? TaskClass::Urgent
+                                    : draw < 24 ? TaskClass::LatencyCritical
+                                                : TaskClass::Batch;
+        job.tasks.push_back({.spec = {.id = {name("inspection", n)},
+                                      .job = job.job,
+                                      .team = {name("team", n / tasksPerJob % teams)},
+                                      .taskClass = taskClass,
+                                      .size = {static_cast<std::int64_t>(200 + random() % 1'000),
+                                               static_cast<std::int64_t>(500 + random() % 4'000),
+                                               random() % 50 == 0 ? 1 : 0},
+                                      .expectedRunTime = milliseconds(600'000),
+                                      .payload = "run"}});
+        if (n % tasksPerJob == tasksPerJob - 1 || n == count - 1) {
+            changes.emplace_back(job);
+        }
+    }
+    return changes;
+}
+
+struct Run
+{
+    Holder holder;
+    std::vector<LogEntry> log;
+    TimePoint now{std::chrono::hours(1)};
+
+    void append(const Proposal &proposal, std::vector<Change> changes)
+    {
+        LogEntry entry{.shard = holder.state.shard,
+                       .epoch = holder.epoch,
+                       .sequence = holder.state.lastSequence + 1,
+                       .transactionId = "transaction",
+                       .changes = std::move(changes)};
+        if (const auto result = commitProposal(holder, proposal, entry, now); !result) {
+            std::fprintf(stderr, "%s: %s\n", result.error().where.c_str(),
+                         result.error().message.c_str());
+            std::exit(1);
+        }
+        log.push_back(std::move(entry));
+    }
+
+    /// Delivers all due orders to workers that start everything at once.
+    void exchange()
+    {
+        for (auto &[host, view] : holder.workers) {
+            view.permitWanted = true;
+        }
+        now += std::chrono::milliseconds(100);
+        for (const auto &[host, orders] : dueOrders(holder, now)) {
+            WorkerReport report{.bootId = "boot",
+                                .epoch = orders.epoch,
+                                .sequence = orders.sequence,
+                                .permit = orders.sequence};
+            for (const TaskId &id : holder.state.hosts.at(host).tasks) {
+                report.running.push_back({.run = {id, holder.state.tasks.at(id).incarnation}});
+            }
+            onReport(holder, host, report, now);
+        }
+    }
+};
+
+Run makeRun(const Size &size, const PlacementPolicy &policy)
+{
+    std::mt19937 random(seed);
+    ShardState state;
+    state.shard = {"lowell-yard"};
+    Run run;
+    run.holder = makeHolder({.placement = policy}, std::move(state), 1, run.now);
+    run.append({}, makeHosts(size.hosts));
+    run.append({}, makeJobs(size.tasks, random));
+    run.exchange();
+    return run;
+}
+
+/// Proposes and appends until @p waiting tasks are left or nothing more fits. Returns the number of
+/// placements and the seconds spent in propose().
+std::pair<std::size_t, double> placeUntil(Run &run, std::size_t waiting)
+{
+    std::size_t placed = 0;
+    double spent = 0;
+    while (run.holder.state.queue.size() > waiting) {
+        const auto start = Clock::now();
+        const Proposal proposal = propose(run.holder, run.now);
+        spent += secondsSince(start);
+        if (!proposal.containsStart) {
+            break;
+        }
+        placed += proposal.changes.size();
+        run.append(proposal, proposal.changes);
+        run.exchange();
+    }
+    return {placed, spent};
+}
+
+void measurePlacements()
+{
+    std::printf("placements per second, one thread (propose() only; the last %d placements)\n",
+                measuredTasks);
+    std::printf("%8s %8s  %-16s %12s %10s\n", "hosts", "tasks", "policy", "per second", "placed");
+    for (const Size &size : sizes) {
+        for (const std::string &policy : PluginRegistry<PlacementPolicy>::instance().names()) {
+            Run run =
+                makeRun(size, PluginRegistry<PlacementPolicy>::instance().find(policy).value());
+            const auto before = placeUntil(run, measuredTasks);
+            const auto [placed, spent] = placeUntil(run, 0);
+            std::printf("%8d %8d  %-16s %12.0f %10zu\n", size.hosts, size.tasks, policy.c_str(),
+                        static_cast<double>(placed) / spent, before.first + placed);
+        }
+    }
+}
+
+void measureState()
+{
+    std::printf("\nstate and log\n");
+    std::printf("%8s %8s %14s %14s %14s %12s %12s %14s\n", "hosts", "tasks", "snapshot B/task",
+                "log B/start", "apply us/start", "snapshot ms", "log tail ms", "memory B/task");
+    for (const Size &size : sizes) {
+        Run run = makeRun(
+            size, PluginRegistry<PlacementPolicy>::instance().find("spread-reserve").value());
+        placeUntil(run, measuredTasks);
+        const std::string snapshot = encodeSnapshot(run.holder.state);
+        const std::size_t covered = run.log.size();
+        placeUntil(run, 0);
+
+        // The tail is every entry after the snapshot, as recovery reads it.
+        std::vector<std::string> tail;
+        std::size_t tailBytes = 0;
+        std::size_t starts = 0;
+        for (std::size_t n = covered; n < run.log.size(); ++n) {
+            tail.push_back(encodeLogEntry(run.log[n]));
+            tailBytes += tail.back().size();
+            starts += run.log[n].changes.size();
+        }
+        const std::size_t tasks = run.holder.state.tasks.size();
+        run = {};
+        malloc_trim(0);
+        const double memoryBefore = residentBytes();
+        auto start = Clock::now();
+        auto state = decodeSnapshot(snapshot);
+        const double snapshotTime = secondsSince(start);
+        malloc_trim(0);
+        const double memory = residentBytes() - memoryBefore;
+        double applyTime = 0;
+        start = Clock::now();
+        for (const std::string &bytes : tail) {
+            const auto entry = decodeLogEntry(bytes);
+            const auto applyStart = Clock::now();
+            if (!state || !entry || !apply(*state, *entry)) {
+                std::fprintf(stderr, "the log does not replay\n");
+                std::exit(1);
+            }
+            applyTime += secondsSince(applyStart);
+        }
+        const double tailTime = secondsSince(start);
+        std::printf("%8d %8d %14.0f %14.0f %14.2f %12.1f %12.1f %14.0f\n", size.hosts, size.tasks,
+                    static_cast<double>(snapshot.size()) / static_cast<double>(tasks),
+                    static_cast<double>(tailBytes) / static_cast<double>(starts),
+                    applyTime * 1e6 / static_cast<double>(starts), snapshotTime * 1e3,
+                    tailTime * 1e3, memory / static_cast<double>(tasks));
+    }
+    std::printf("The tail holds the last starts; memory is that of the recovered state.\n");
+}
+
+} // namespace
+
+int main()
+{
+    measurePlacements();
+    measureState();
+    return 0;
+}
