Add the stand-ins for the platform, the workers and the service instances

The failure tests and the load tool need the interfaces around the daemon without third-party servers. standin_platform serves the table, objects and a lagging host list, with budgets, outages, lost answers and cuts. standin_workers plays every worker and service instance of a deployment file and keeps its own record of runs and executions.

--- /dev/null
+++ b/tests/standins/deployment.h
@@ -0,0 +1,28 @@
+#ifndef ACACIADEAL_STANDINS_DEPLOYMENT_H
+#define ACACIADEAL_STANDINS_DEPLOYMENT_H
+
+#include "platform/platform.h"
+
+#include <string>
+#include <vector>
+
+namespace acaciadeal::standins {
+
+/// Hosts that the stand-ins play.
+struct Deployment
+{
+    std::string region;
+    std::vector<FailureDomainId> failureDomains;
+    /// Workers first, then instances. With first port 0, every port is 0.
+    std::vector<HostRecord> hosts;
+};
+
+/// Parses a deployment file: JSON with comments. Errors: SyntaxError. Thread-safe.
+Result<Deployment> parseDeployment(const std::string &text);
+
+/// Reads and parses a deployment file. Errors: FileUnreadable, SyntaxError.
+Result<Deployment> readDeployment(const std::string &path);
+
+} // namespace acaciadeal::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/faultyserver.cpp
@@ -0,0 +1,203 @@
+#include "standins/faultyserver.h"
+
+#include "http/internal/headers.h"
+#include "runtime/eventloop.h"
+
+#include <atomic>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace acaciadeal::standins {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+struct FaultyServer::Impl : std::enable_shared_from_this<FaultyServer::Impl>
+{
+    Impl(EventLoop &eventLoop, const FaultyServerOptions &serverOptions, FaultyHandler handle)
+        : loop(eventLoop)
+        , options(serverOptions)
+        , handler(std::move(handle))
+        , acceptor(asio::make_strand(eventLoop.context()))
+    {
+    }
+
+    void accept();
+
+    EventLoop &loop;
+    FaultyServerOptions options;
+    FaultyHandler handler;
+    tcp::acceptor acceptor;
+    std::atomic<std::size_t> open{0};
+    std::atomic<std::size_t> refused{0};
+};
+
+namespace {
+
+constexpr std::size_t requestLimit = 16 * 1024 * 1024;
+
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<FaultyServer::Impl> server, tcp::socket socket)
+        : m_server(std::move(server))
+        , m_stream(std::move(socket))
+    {
+        ++m_server->open;
+        beast::error_code ec;
+        m_client = m_stream.socket().remote_endpoint(ec).address().to_string();
+        m_stream.socket().set_option(tcp::no_delay(true), ec);
+    }
+
+    ~Connection()
+    {
+        --m_server->open;
+    }
+
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(requestLimit);
+        beast::http::async_read(m_stream, m_buffer, *m_parser,
+                                [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                                    if (!ec) {
+                                        self->handle();
+                                    }
+                                });
+    }
+
+private:
+    void handle()
+    {
+        auto &message = m_parser->get();
+        const bool keepAlive = message.keep_alive();
+        HttpRequest request{.method = std::string(message.method_string()),
+                            .target = std::string(message.target()),
+                            .headers = internal::toHeaders(message),
+                            .body = std::move(message.body())};
+        m_server->handler(
+            std::move(request), m_client,
+            [self = shared_from_this(), keepAlive](HttpResponse response, Delivery delivery) {
+                asio::dispatch(self->m_stream.get_executor(),
+                               [self, keepAlive, delivery, response = std::move(response)] {
+                                   self->respond(response, keepAlive, delivery);
+                               });
+            });
+    }
+
+    void respond(const HttpResponse &response, bool keepAlive, Delivery delivery)
+    {
+        if (delivery == Delivery::Dropped) {
+            m_stream.close();
+            return;
+        }
+        const bool whole = delivery == Delivery::Whole;
+        std::ostringstream text;
+        text << "HTTP/1.1 " << response.status << " -\r\n";
+        for (const auto &[name, value] : response.headers) {
+            text << name << ": " << value << "\r\n";
+        }
+        text << "content-length: " << response.body.size() << "\r\n"
+             << (keepAlive ? "" : "connection: close\r\n") << "\r\n"
+             << (whole ? response.body : response.body.substr(0, response.body.size() / 2));
+        m_answer = std::move(text).str();
+        asio::async_write(m_stream, asio::buffer(m_answer),
+                          [self = shared_from_this(),
+                           reuse = keepAlive && whole](beast::error_code ec, std::size_t) {
+                              if (!ec && reuse) {
+                                  self->read();
+                              } else {
+                                  self->m_stream.close();
+                              }
+                          });
+    }
+
+    std::shared_ptr<FaultyServer::Impl> m_server;
+    beast::tcp_stream m_stream;
+    std::string m_client;
+    beast::flat_buffer m_buffer;
+    std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
+    std::string m_answer;
+};
+
+} // namespace
+
+void FaultyServer::Impl::accept()
+{
+    acceptor.async_accept(asio::make_strand(loop.context()),
+                          [self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
+                              if (!self->acceptor.is_open()) {
+                                  return;
+                              }
+                              const std::size_t limit = self->options.maxConnections;
+                              if (!ec && limit > 0 && self->open >= limit) {
+                                  ++self->refused;
+                                  socket.close(ec);
+                              } else if (!ec) {
+                                  std::make_shared<Connection>(self, std::move(socket))->read();
+                              }
+                              self->accept();
+                          });
+}
+
+FaultyServer::FaultyServer(EventLoop &loop, const FaultyServerOptions &options,
+                           FaultyHandler handler)
+    : m_impl(std::make_shared<Impl>(loop, options, std::move(handler)))
+{
+}
+
+FaultyServer::~FaultyServer()
+{
+    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
+        beast::error_code ec;
+        impl->acceptor.close(ec);
+    });
+}
+
+Result<void> FaultyServer::start()
+{
+    beast::error_code ec;
+    const Endpoint &listen = m_impl->options.listen;
+    const tcp::endpoint endpoint(asio::ip::make_address(listen.address, ec), listen.port);
+    if (!ec) {
+        m_impl->acceptor.open(endpoint.protocol(), ec);
+    }
+    if (!ec) {
+        m_impl->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        m_impl->acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        m_impl->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return failure(ResultCode::ConnectionFailed, ec.message(), toString(listen));
+    }
+    m_impl->accept();
+    return {};
+}
+
+Endpoint FaultyServer::endpoint() const
+{
+    beast::error_code ec;
+    return {m_impl->options.listen.address, m_impl->acceptor.local_endpoint(ec).port()};
+}
+
+std::size_t FaultyServer::refusedConnections() const
+{
+    return m_impl->refused;
+}
+
+} // namespace acaciadeal::standins
--- /dev/null
+++ b/tests/standins/faultyserver.h
@@ -0,0 +1,66 @@
+#ifndef ACACIADEAL_STANDINS_FAULTYSERVER_H
+#define ACACIADEAL_STANDINS_FAULTYSERVER_H
+
+#include "http/httpmessage.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace acaciadeal {
+class EventLoop;
+}
+
+namespace acaciadeal::standins {
+
+/// What happens to an answer on its way.
+enum class Delivery {
+    Whole,
+    /// Half of the body is sent under the length of the whole, then the connection is closed.
+    Truncated,
+    /// The connection is closed without an answer.
+    Dropped,
+};
+
+using FaultyResponder = std::function<void(HttpResponse, Delivery)>;
+/// @p client is the address of the caller. Must not block.
+using FaultyHandler =
+    std::function<void(HttpRequest, const std::string &client, FaultyResponder respond)>;
+
+struct FaultyServerOptions
+{
+    Endpoint listen;
+    /// Further connections are closed at once; 0 means no limit.
+    std::size_t maxConnections = 0;
+};
+
+/// HTTP/1.1 server that can break answers, which HttpServer never does. Thread-safe.
+class FaultyServer
+{
+public:
+    /// Precondition: @p loop outlives the server and runs no handler after it.
+    FaultyServer(EventLoop &loop, const FaultyServerOptions &options, FaultyHandler handler);
+    ~FaultyServer();
+    FaultyServer(const FaultyServer &) = delete;
+    FaultyServer &operator=(const FaultyServer &) = delete;
+
+    /// Opens the listening socket. Errors: ConnectionFailed.
+    Result<void> start();
+
+    /// Returns the bound endpoint. Precondition: start() succeeded.
+    Endpoint endpoint() const;
+
+    /// Returns how many connections were closed because of the limit.
+    std::size_t refusedConnections() const;
+
+    /// Defined in the source file.
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace acaciadeal::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/standins_test.cpp
@@ -0,0 +1,140 @@
+#include "http/httpclient.h"
+#include "runtime/eventloop.h"
+#include "standins/budget.h"
+#include "standins/deployment.h"
+#include "standins/instance.h"
+#include "standins/workerjson.h"
+
+#include <doctest/doctest.h>
+#include <future>
+#include <set>
+
+using namespace acaciadeal;
+using namespace acaciadeal::standins;
+using namespace std::chrono_literals;
+
+TEST_CASE("orders and reports survive a round trip")
+{
+    WorkerOrders orders{.shard = {"a"},
+                        .epoch = 2,
+                        .sequence = 3,
+                        .permit = std::uint64_t{5} << 40,
+                        .lease = 15s,
+                        .stops = {{{"u"}, 2}},
+                        .throttles = {{{{"v"}, 3}, 40}},
+                        .acknowledged = {{{"w"}, 4}}};
+    StartOrder &start = orders.starts.emplace_back();
+    start.run = {{"t"}, 1};
+    start.taskClass = TaskClass::LatencyCritical;
+    start.size = {1, 2, 3};
+    start.expectedRunTime = 4ms;
+    start.payload = R"({"run_ms":1})";
+    start.checkpoint = "c";
+    CHECK(parseOrders(formatOrders(orders)).value() == orders);
+    WorkerReport report{.bootId = "b",
+                        .epoch = 2,
+                        .sequence = 3,
+                        .stale = true,
+                        .permit = 9,
+                        .running = {{{{"t"}, 1}, 5, 6, 70}},
+                        .refused = {{{{"v"}, 3}, ResultCode::RepeatedStart}}};
+    EndedRun &ended = report.ended.emplace_back();
+    ended.run = {{"u"}, 2};
+    ended.outcome = RunOutcome::LeaseLapsed;
+    ended.checkpoint = "c";
+    ended.detail = "d";
+    CHECK(parseReport(formatReport(report)).value() == report);
+    CHECK(parseOrders("{}").error().code == ResultCode::MalformedRequest);
+}
+
+TEST_CASE("the deployment files have the sizes of the design")
+{
+    const std::string folder = ACACIADEAL_DEPLOYMENTS_DIR;
+    for (const auto &[name, workers, instances] :
+         {std::tuple{"small", 6, 6}, {"merrimack", 66, 65}, {"cooperative", 48, 50}}) {
+        CAPTURE(name);
+        const auto deployment = readDeployment(folder + "/" + name + ".json");
+        REQUIRE(deployment);
+        CHECK(deployment->failureDomains.size() == 3);
+        int workerCount = 0;
+        std::set<HostId> names;
+        for (const HostRecord &host : deployment->hosts) {
+            workerCount += host.service.empty() ? 1 : 0;
+            names.insert(host.host);
+            CHECK(host.slots == (host.service.empty() ? 0 : 8));
+        }
+        CHECK(workerCount == workers);
+        CHECK(deployment->hosts.size() == static_cast<std::size_t>(workers + instances));
+        CHECK(names.size() == deployment->hosts.size());
+    }
+    CHECK(readDeployment(folder + "/absent.json").error().code == ResultCode::FileUnreadable);
+    CHECK(parseDeployment("{").error().code == ResultCode::SyntaxError);
+}
+
+TEST_CASE("a budget delays what exceeds it")
+{
+    Budget budget{.perSecond = 100};
+    const TimePoint now = TimePoint{} + 1h;
+    CHECK(take(budget, 10, now) == Duration(0));
+    CHECK(take(budget, 100, now) == 1s);
+    CHECK(take(budget, 1, now + 2s) == Duration(0));
+    CHECK(budget.used == 111);
+    CHECK(budget.delayed == 1);
+}
+
+// Guards against a stand-in that hides a request executed twice or beyond the slots.
+TEST_CASE("an instance records executions and refuses what exceeds its slots as not run")
+{
+    Instance instance{.options = {.host = {"i"}, .slots = 1}};
+    const HttpRequest request{.headers = {{"x-request-id", "r1"}}, .body = "hello"};
+    const auto first = execute(instance, request, TimePoint{});
+    CHECK(first.executed);
+    CHECK(first.response.headers.at("x-request-id") == "r1");
+    const auto second = execute(instance, request, TimePoint{});
+    CHECK_FALSE(second.executed);
+    CHECK(second.response.status == 503);
+    CHECK(second.response.headers.at("x-not-run") == "true");
+    finish(instance);
+    instance.faults.truncateNext = 1;
+    setLeaving(instance, true, TimePoint{} + 1s);
+    const auto third = execute(instance, request, TimePoint{} + 2s);
+    CHECK(third.delivery == Delivery::Truncated);
+    CHECK(third.response.headers.at("x-leaving") == "true");
+    REQUIRE(instance.executions.size() == 2);
+    CHECK(instance.executions.at(1).leaving);
+    CHECK(instance.executions.at(1).leavingSince == TimePoint{} + 1s);
+}
+
+// Guards against the fault injection not reaching the wire.
+TEST_CASE("the faulty server breaks answers and limits connections")
+{
+    EventLoop loop({.threads = 1});
+    FaultyServer server(
+        loop, {.listen = {"127.0.0.1", 0}, .maxConnections = 1},
+        [](const HttpRequest &request, const std::string &client, const FaultyResponder &respond) {
+            const Delivery delivery = request.target == "/truncated" ? Delivery::Truncated
+                                      : request.target == "/dropped" ? Delivery::Dropped
+                                                                     : Delivery::Whole;
+            respond({.status = 200, .headers = {{"x-client", client}}, .body = "0123456789"},
+                    delivery);
+        });
+    REQUIRE(server.start());
+    HttpClient client(loop, {});
+    const auto call = [&](const std::string &target, bool fresh) {
+        std::promise<HttpOutcome> outcome;
+        client.send(server.endpoint(), {.method = "GET", .target = target},
+                    {.timeout = 60s, .freshConnection = fresh},
+                    [&](HttpOutcome result) { outcome.set_value(std::move(result)); });
+        return outcome.get_future().get();
+    };
+    const auto whole = call("/", false);
+    REQUIRE(whole.response);
+    CHECK(whole.response->body == "0123456789");
+    CHECK(whole.response->headers.at("x-client") == "127.0.0.1");
+    // The pooled connection counts against the limit of one.
+    CHECK_FALSE(call("/", true).response);
+    CHECK(server.refusedConnections() == 1);
+    const auto truncated = call("/truncated", false);
+    REQUIRE_FALSE(truncated.response);
+    CHECK(truncated.response.error().code == ResultCode::IncompleteAnswer);
+}
--- /dev/null
+++ b/tests/standins/workersmain.cpp
@@ -0,0 +1,332 @@
+#include "http/httprouter.h"
+#include "platform/codec.h"
+#include "runtime/eventloop.h"
+#include "standins/controlroutes.h"
+#include "standins/deployment.h"
+#include "standins/faultyserver.h"
+#include "standins/instance.h"
+#include "standins/worker.h"
+#include "standins/workerjson.h"
+
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+using namespace acaciadeal;
+using namespace acaciadeal::standins;
+using nlohmann::json;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// One host of the deployment; a worker if it serves nothing, else a service instance.
+struct PlayedHost
+{
+    HostRecord host;
+    std::mutex mutex;
+    Worker worker;
+    Instance instance;
+    bool frozen = false;
+    /// Requests that arrived while the host was frozen; they are handled late, at the thaw.
+    std::vector<std::function<void()>> held;
+    std::unique_ptr<FaultyServer> server;
+
+    bool isWorker() const
+    {
+        return host.service.empty();
+    }
+};
+
+struct Program
+{
+    EventLoop &loop;
+    std::deque<PlayedHost> hosts;
+};
+
+void serveControl(PlayedHost &host, const HttpRequest &request, const FaultyResponder &respond)
+{
+    const auto orders = parseOrders(request.body);
+    if (!orders) {
+        respond(errorResponse(orders.error()), Delivery::Whole);
+        return;
+    }
+    WorkerReport report;
+    {
+        const std::lock_guard lock(host.mutex);
+        report = onOrders(host.worker, *orders, steady_clock::now());
+    }
+    respond(jsonResponse(formatReport(report)), Delivery::Whole);
+}
+
+void serveExecute(EventLoop &loop, PlayedHost &host, const HttpRequest &request,
+                  FaultyResponder respond)
+{
+    Execution execution;
+    {
+        const std::lock_guard lock(host.mutex);
+        execution = execute(host.instance, request, steady_clock::now());
+    }
+    if (!execution.executed) {
+        respond(std::move(execution.response), Delivery::Whole);
+        return;
+    }
+    loop.postAfter(execution.serviceTime, [&loop, &host, execution, respond = std::move(respond)] {
+        {
+            const std::lock_guard lock(host.mutex);
+            finish(host.instance);
+        }
+        loop.postAfter(execution.answerDelay,
+                       [execution, respond] { respond(execution.response, execution.delivery); });
+    });
+}
+
+void serve(EventLoop &loop, PlayedHost &host, const HttpRequest &request, FaultyResponder respond)
+{
+    const std::string path = pathOf(request.target);
+    if (host.isWorker() && path == "/v1/control") {
+        serveControl(host, request, respond);
+    } else if (!host.isWorker() && path == "/v1/execute") {
+        serveExecute(loop, host, request, std::move(respond));
+    } else {
+        respond(errorResponse({ResultCode::UnknownPath, "no such path", path}), Delivery::Whole);
+    }
+}
+
+void receive(EventLoop &loop, PlayedHost &host, HttpRequest request, FaultyResponder respond)
+{
+    {
+        const std::lock_guard lock(host.mutex);
+        if (host.frozen) {
+            host.held.emplace_back(
+                [&loop, &host, request = std::move(request), respond = std::move(respond)] {
+                    serve(loop, host, request, respond);
+                });
+            return;
+        }
+    }
+    serve(loop, host, request, std::move(respond));
+}
+
+void setFrozen(PlayedHost &host, bool frozen)
+{
+    std::vector<std::function<void()>> held;
+    {
+        const std::lock_guard lock(host.mutex);
+        host.frozen = frozen;
+        if (!frozen) {
+            held.swap(host.held);
+        }
+    }
+    for (const auto &request : held) {
+        request();
+    }
+}
+
+/// Changes the faults of one host from the body of POST /control/host.
+void applyFaults(PlayedHost &host, const json &change)
+{
+    if (change.contains("frozen")) {
+        setFrozen(host, change.at("frozen").get<bool>());
+    }
+    const std::lock_guard lock(host.mutex);
+    const auto now = steady_clock::now();
+    if (change.value("restart", false)) {
+        restart(host.worker, now);
+        // A restarted host has lost what it had received.
+        host.held.clear();
+    }
+    const bool fails = change.value("fail_everything", host.worker.failsEverything);
+    host.worker.failsEverything = fails;
+    host.worker.refusesStarts = change.value("refuse_starts", host.worker.refusesStarts);
+    InstanceFaults &faults = host.instance.faults;
+    faults.failsEverything = fails;
+    faults.serviceTime = milliseconds(change.value("service_ms", faults.serviceTime.count()));
+    faults.answerDelay = milliseconds(change.value("answer_delay_ms", faults.answerDelay.count()));
+    faults.truncateNext = change.value("truncate_next", faults.truncateNext);
+    faults.dropNext = change.value("drop_next", faults.dropNext);
+    setLeaving(host.instance, change.value("leaving", faults.leaving), now);
+}
+
+/// POST /control/host: {"hosts": [names; empty for all], faults...}.
+HttpResponse changeHosts(Program &program, const HttpRequest &request)
+{
+    const json change = json::parse(request.body);
+    const auto names = change.value("hosts", std::vector<std::string>{});
+    std::set<std::string> missing(names.begin(), names.end());
+    for (PlayedHost &host : program.hosts) {
+        if (names.empty() || missing.erase(host.host.host.value) > 0) {
+            applyFaults(host, change);
+        }
+    }
+    if (!missing.empty()) {
+        return errorResponse({ResultCode::UnknownHost, "no such host", *missing.begin()});
+    }
+    return jsonResponse("{}");
+}
+
+json toJson(const Resources &amounts)
+{
+    return {{"milli_cores", amounts.milliCores},
+            {"memory_mib", amounts.memoryMiB},
+            {"accelerators", amounts.accelerators}};
+}
+
+json toJson(const RunRecord &record, const FailureDomainId &domain)
+{
+    return {{"task", record.run.task.value},
+            {"incarnation", record.run.incarnation},
+            {"host", record.host.value},
+            {"failure_domain", domain.value},
+            {"shard", record.shard.value},
+            {"boot_id", record.bootId},
+            {"epoch", record.epoch},
+            {"permit", record.permit},
+            {"permit_age_ms", record.permitAge.count()},
+            {"size", toJson(record.size)},
+            {"resumed_from", record.resumedFrom},
+            {"started_at_us", clockMicroseconds(record.startedAt)},
+            {"ended_at_us", record.endedAt ? json(clockMicroseconds(*record.endedAt)) : json()},
+            {"lease_end_us", clockMicroseconds(record.leaseEnd)},
+            {"outcome", record.outcome},
+            {"checkpoint", record.checkpoint}};
+}
+
+json toJson(const ExecutionRecord &record, const FailureDomainId &domain)
+{
+    return {{"request", record.requestId},
+            {"host", record.host.value},
+            {"failure_domain", domain.value},
+            {"at_us", clockMicroseconds(record.at)},
+            {"leaving", record.leaving},
+            {"leaving_since_us", record.leaving ? clockMicroseconds(record.leavingSince) : 0},
+            {"delivery", record.delivery == Delivery::Whole       ? "whole"
+                         : record.delivery == Delivery::Truncated ? "truncated"
+                                                                  : "dropped"}};
+}
+
+/// GET /control/records: all runs, executions and per-host counters.
+HttpResponse dumpRecords(Program &program, const HttpRequest &)
+{
+    json runs = json::array();
+    json executions = json::array();
+    json hosts = json::array();
+    for (PlayedHost &host : program.hosts) {
+        const std::lock_guard lock(host.mutex);
+        advance(host.worker, steady_clock::now());
+        for (const RunRecord &record : host.worker.records) {
+            runs.push_back(toJson(record, host.host.failureDomain));
+        }
+        for (const ExecutionRecord &record : host.instance.executions) {
+            executions.push_back(toJson(record, host.host.failureDomain));
+        }
+        hosts.push_back({{"host", host.host.host.value},
+                         {"failure_domain", host.host.failureDomain.value},
+                         {"worker", host.isWorker()},
+                         {"frozen", host.frozen},
+                         {"boot_id", host.worker.bootId},
+                         {"orders", host.worker.orders},
+                         {"stale_orders", host.worker.staleOrders},
+                         {"stale_permits", host.worker.stalePermits},
+                         {"repeated_starts", host.worker.repeatedStarts},
+                         {"running", host.worker.running.size()},
+                         {"capacity", toJson(host.host.capacity)},
+                         {"peak", toJson(host.worker.peak)},
+                         {"active", host.instance.active},
+                         {"peak_active", host.instance.peakActive},
+                         {"refused", host.instance.refused},
+                         {"refused_connections", host.server->refusedConnections()}});
+    }
+    return jsonResponse(json{
+        {"now_us", clockMicroseconds(steady_clock::now())},
+        {"runs", runs},
+        {"executions", executions},
+        {"hosts", hosts}}.dump());
+}
+
+/// GET /control/hosts: the host list in the platform's form, with the bound ports.
+HttpResponse listHosts(Program &program, const HttpRequest &)
+{
+    std::vector<HostRecord> hosts;
+    for (const PlayedHost &host : program.hosts) {
+        hosts.push_back(host.host);
+    }
+    return jsonResponse(encodeHosts(hosts));
+}
+
+/// Clears the records of executions, for measurements over a long time.
+HttpResponse clearExecutions(Program &program, const HttpRequest &)
+{
+    for (PlayedHost &host : program.hosts) {
+        const std::lock_guard lock(host.mutex);
+        host.instance.executions.clear();
+    }
+    return jsonResponse("{}");
+}
+
+Result<void> startHosts(Program &program, const Deployment &deployment)
+{
+    for (const HostRecord &record : deployment.hosts) {
+        PlayedHost &host = program.hosts.emplace_back();
+        host.host = record;
+        host.worker = makeWorker({.host = record.host, .capacity = record.capacity});
+        host.instance.options = {.host = record.host,
+                                 .failureDomain = record.failureDomain,
+                                 .service = record.service,
+                                 .slots = record.slots};
+        host.server = std::make_unique<FaultyServer>(
+            program.loop,
+            FaultyServerOptions{.listen = record.endpoint, .maxConnections = record.connections},
+            [&loop = program.loop, &host](HttpRequest request, const std::string &,
+                                          FaultyResponder respond) {
+                receive(loop, host, std::move(request), std::move(respond));
+            });
+        const auto started = host.server->start();
+        if (!started) {
+            return started;
+        }
+        host.host.endpoint = host.server->endpoint();
+    }
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto options = parseCommandLine(argc, argv);
+    if (!options) {
+        std::cerr << options.error().message << '\n';
+        return 2;
+    }
+    const auto deployment = readDeployment(options->deployment);
+    if (!deployment) {
+        std::cerr << deployment.error().message << '\n';
+        return 1;
+    }
+    EventLoop loop({.threads = options->threads});
+    Program program{.loop = loop, .hosts = {}};
+    const auto started = startHosts(program, *deployment);
+    if (!started) {
+        std::cerr << started.error().where << ": " << started.error().message << '\n';
+        return 1;
+    }
+    ControlRoutes routes;
+    routes.add("POST", "/control/host", [&](const auto &r) { return changeHosts(program, r); });
+    routes.add("GET", "/control/records", [&](const auto &r) { return dumpRecords(program, r); });
+    routes.add("GET", "/control/hosts", [&](const auto &r) { return listHosts(program, r); });
+    routes.add("POST", "/control/clear",
+               [&](const auto &r) { return clearExecutions(program, r); });
+    const int status = serveUntilSignal(
+        loop, options->listen,
+        [&](const HttpRequest &request, const std::string &, const FaultyResponder &respond) {
+            respond(routes.handle(request), Delivery::Whole);
+        });
+    // Handlers on the loop's threads refer to the hosts.
+    loop.stop();
+    return status;
+}
