--- /dev/null
+++ b/tests/failure/process.h
@@ -0,0 +1,79 @@
+#ifndef ACACIADEAL_FAILURE_PROCESS_H
+#define ACACIADEAL_FAILURE_PROCESS_H
+
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace acaciadeal::failure_tests {
+
+/// Child process of the test runner. Not thread-safe. The destructor kills a child that still runs.
+class Process
+{
+public:
+    /// Starts @p command with its output in @p logFile. Throws std::runtime_error.
+    Process(const std::vector<std::string> &command, const std::string &logFile);
+    ~Process();
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    /// Sends @p signalNumber if the child has not been reaped.
+    void signal(int signalNumber);
+
+    /// Returns the wait status of a child that ended, without waiting.
+    std::optional<int> status();
+
+    /// Sends SIGKILL and reaps the child.
+    void kill();
+
+    /// Returns what the child wrote so far.
+    std::string log() const;
+
+private:
+    pid_t m_pid = 0;
+    std::string m_logFile;
+    std::optional<int> m_status;
+};
+
+/// Returns the endpoint after "listening on " in @p log, or an empty string.
+std::string listeningEndpoint(const std::string &log);
+
+/// Port that is free on the loopback address. It stays bound, without listening, for the life of
+/// the object, so that no other program gets it while a daemon restarts on it.
+class ReservedPort
+{
+public:
+    /// Throws std::runtime_error.
+    ReservedPort();
+    ~ReservedPort();
+    ReservedPort(const ReservedPort &) = delete;
+    ReservedPort &operator=(const ReservedPort &) = delete;
+
+    std::string endpoint() const;
+
+private:
+    int m_socket = -1;
+    int m_port = 0;
+};
+
+/// Folder below the system's temporary folder, deleted with its content by the destructor.
+class TemporaryFolder
+{
+public:
+    /// Throws std::runtime_error.
+    TemporaryFolder();
+    ~TemporaryFolder();
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    /// Returns the path of a file in the folder.
+    std::string file(const std::string &name) const;
+
+private:
+    std::string m_path;
+};
+
+} // namespace acaciadeal::failure_tests
+
+#endif
--- a/tests/standins/platformmain.cpp
+++ b/tests/standins/platformmain.cpp
@@ -27,7 +27,7 @@
 
 enum class Outage { Off, Close, Hang, Error };
 
-/// Change of the host list, visible after the lag.
+/// Change of the host list, visible after the lag; the first one is always visible.
 struct HostListVersion
 {
     TimePoint since;
@@ -212,10 +212,12 @@
 std::vector<HostRecord> visibleHosts(const Program &program, TimePoint now)
 {
     std::vector<HostRecord> hosts;
+    bool isFirst = true;
     for (const HostListVersion &version : program.hostLists) {
-        if (version.since + program.hostListLag <= now) {
+        if (isFirst || version.since + program.hostListLag <= now) {
             hosts = version.hosts;
         }
+        isFirst = false;
     }
     return hosts;
 }
--- a/tests/standins/workersmain.cpp
+++ b/tests/standins/workersmain.cpp
@@ -228,6 +228,7 @@
                          {"failure_domain", host.host.failureDomain.value},
                          {"worker", host.isWorker()},
                          {"frozen", host.frozen},
+                         {"held", host.held.size()},
                          {"boot_id", host.worker.bootId},
                          {"orders", host.worker.orders},
                          {"stale_orders", host.worker.staleOrders},
