Add golden sessions of the core protocol

Cause: the protocol is to be proved by golden files of whole sessions.

Change: a driver with a manual clock runs holders and workers through the real decisions and codecs; nine sessions cover eviction, a failure domain out and back, a change of holder, an outage, a lost answer and racing operators.

--- /dev/null
+++ b/tests/golden/golden_test.cpp
@@ -0,0 +1,215 @@
+#include "golden/session.h"
+
+#include "daemon/rowkeys.h"
+#include "settings/settingstree.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+using namespace acaciadeal::golden;
+
+namespace {
+
+constexpr Resources smallHost{.milliCores = 4000, .memoryMiB = 8192, .accelerators = 1};
+constexpr Resources halfHost{.milliCores = 2000, .memoryMiB = 2048};
+
+Session makeSession(int hosts)
+{
+    Session session;
+    for (int n = 1; n <= hosts; ++n) {
+        addWorker(session, "worker-" + std::to_string(n), smallHost);
+    }
+    return session;
+}
+
+Change job(const std::string &name, int tasks, TaskClass taskClass, const std::string &payload)
+{
+    JobAccepted accepted{.job = {name}};
+    for (int n = 1; n <= tasks; ++n) {
+        Task task;
+        task.spec = {.id = {name + "-" + std::to_string(n)},
+                     .job = {name},
+                     .team = {"wire"},
+                     .taskClass = taskClass,
+                     .size = halfHost,
+                     .payload = payload};
+        accepted.tasks.push_back(task);
+    }
+    return accepted;
+}
+
+/// Alternates exchanges and decisions until @p rounds have passed.
+void run(Session &session, const std::string &daemon, int rounds, milliseconds step)
+{
+    for (int n = 0; n < rounds; ++n) {
+        exchange(session, daemon);
+        decide(session, daemon);
+        exchange(session, daemon);
+        advance(session, step);
+    }
+}
+
+} // namespace
+
+TEST_CASE("session: a batch task runs under a lease and finishes")
+{
+    Session session = makeSession(2);
+    claim(session, "entry-1");
+    appendChanges(session, "entry-1", {job("archive", 2, TaskClass::Batch, R"({"run_ms":400})")});
+    run(session, "entry-1", 5, milliseconds(200));
+    writeRecords(session);
+    compareTranscript(session, "batch-task");
+}
+
+// Guards G3: an evicted task that resumes twice, or from nothing although it has a checkpoint.
+TEST_CASE("session: taking the failure domain out evicts, and bringing it back resumes")
+{
+    Session session = makeSession(1);
+    claim(session, "entry-1");
+    appendChanges(session, "entry-1",
+                  {job("watch", 1, TaskClass::Batch, R"({"run_ms":60000,"checkpoint":true})")});
+    run(session, "entry-1", 3, milliseconds(200));
+    REQUIRE(changeDomain(session, "operator", false, 0));
+    readDomain(session, "entry-1");
+    run(session, "entry-1", 4, milliseconds(1000));
+    const auto version = versionOf(session, domainKey({session.shard.value}));
+    REQUIRE(changeDomain(session, "operator", true, version));
+    readDomain(session, "entry-1");
+    run(session, "entry-1", 4, milliseconds(1000));
+    writeRecords(session);
+    compareTranscript(session, "domain-out-and-back");
+}
+
+// Guards G4: a placement that was decided before the domain was taken out and appended after it.
+TEST_CASE("session: an append that contains a start fails once the failure domain is out")
+{
+    Session session = makeSession(1);
+    claim(session, "entry-1");
+    appendChanges(session, "entry-1", {job("scan", 1, TaskClass::Urgent, R"({"run_ms":100})")});
+    exchange(session, "entry-1");
+    const Proposal proposal = proposeOnly(session, "entry-1");
+    REQUIRE(proposal.containsStart);
+    REQUIRE(changeDomain(session, "operator", false, 0));
+    // The holder has not read the row yet and still checks for an absent one.
+    session.holders.at("entry-1").domainIn = false;
+    CHECK_FALSE(appendProposal(session, "entry-1", proposal));
+    writeRecords(session);
+    compareTranscript(session, "domain-out-before-append");
+}
+
+// Guards G2: a deposed holder that goes on with the batch that it had begun.
+TEST_CASE("session: the holder changes in the middle of a batch")
+{
+    Session session = makeSession(2);
+    claim(session, "entry-1");
+    appendChanges(session, "entry-1", {job("archive", 3, TaskClass::Batch, R"({"run_ms":5000})")});
+    exchange(session, "entry-1");
+    REQUIRE(decide(session, "entry-1"));
+    const auto late = takeOrders(session, "entry-1");
+    note(session, "entry-1 is paused before its orders leave");
+    advance(session, milliseconds(8000));
+    claim(session, "entry-2");
+    run(session, "entry-2", 3, milliseconds(1000));
+    note(session, "entry-1 wakes up and sends what it had prepared");
+    for (const auto &[host, orders] : late) {
+        deliver(session, "entry-1", host, orders);
+    }
+    CHECK_FALSE(decide(session, "entry-1"));
+    run(session, "entry-2", 8, milliseconds(1000));
+    writeRecords(session);
+    compareTranscript(session, "holder-change");
+}
+
+// Guards against a committed entry being appended a second time after its answer was lost.
+TEST_CASE("session: the answer to an append is lost")
+{
+    Session session = makeSession(1);
+    claim(session, "entry-1");
+    appendChanges(session, "entry-1", {job("scan", 1, TaskClass::Urgent, R"({"run_ms":100})")});
+    exchange(session, "entry-1");
+    REQUIRE(decide(session, "entry-1", CommitFault::LoseAnswer));
+    run(session, "entry-1", 3, milliseconds(200));
+    writeRecords(session);
+    compareTranscript(session, "lost-write-answer");
+}
+
+// Guards G2: a worker that is only cut off must not lose its task to another host too early.
+TEST_CASE("session: a worker is cut off and its task moves only after the lease has lapsed")
+{
+    Session session = makeSession(2);
+    claim(session, "entry-1");
+    appendChanges(session, "entry-1", {job("watch", 1, TaskClass::Batch, R"({"run_ms":60000})")});
+    run(session, "entry-1", 2, milliseconds(500));
+    const HostId cut = session.workers.at({"worker-1"}).records.empty() ? HostId{"worker-2"}
+                                                                         : HostId{"worker-1"};
+    for (int n = 0; n < 20; ++n) {
+        for (const auto &[host, orders] : takeOrders(session, "entry-1")) {
+            deliver(session, "entry-1", host, orders,
+                    host == cut ? LinkFault::LoseOrders : LinkFault::None);
+        }
+        decide(session, "entry-1");
+        advance(session, milliseconds(1000));
+    }
+    writeRecords(session);
+    CHECK(session.workers.at(cut).records.size() == 1);
+    compareTranscript(session, "worker-cut-off");
+}
+
+// Guards against leases that lapse because the platform is down.
+TEST_CASE("session: the platform is down for a minute")
+{
+    Session session = makeSession(1);
+    claim(session, "entry-1");
+    appendChanges(session, "entry-1", {job("watch", 1, TaskClass::Batch, R"({"run_ms":90000})")});
+    run(session, "entry-1", 2, milliseconds(500));
+    session.holders.at("entry-1").platformReachable = false;
+    note(session, "the platform is down");
+    run(session, "entry-1", 12, milliseconds(5000));
+    session.holders.at("entry-1").platformReachable = true;
+    session.holders.at("entry-1").ownershipConfirmedAt = session.now;
+    note(session, "the platform is back");
+    run(session, "entry-1", 8, milliseconds(5000));
+    writeRecords(session);
+    CHECK(session.workers.begin()->second.records.size() == 1);
+    compareTranscript(session, "platform-outage");
+}
+
+// Guards against one operator overwriting another's change unseen.
+TEST_CASE("session: two operators race for one failure domain")
+{
+    Session session = makeSession(1);
+    claim(session, "entry-1");
+    CHECK(changeDomain(session, "operator-1", false, 0));
+    CHECK_FALSE(changeDomain(session, "operator-2", true, 0));
+    readDomain(session, "entry-1");
+    compareTranscript(session, "racing-operators");
+}
+
+// Guards G10: two writers of one settings path, of which the second has seen an old version.
+TEST_CASE("session: two operators write the same and neighbouring settings")
+{
+    Session session;
+    SettingsTree tree;
+    const auto attempt = [&](const SettingsWrite &write) {
+        const auto prepared = prepareWrite(tree, write);
+        std::string line = write.team.value + " writes " + write.path + ": ";
+        if (!prepared) {
+            line += resultCodeName(prepared.error().code);
+        } else {
+            const std::string row = encodeEntry(prepared->entry);
+            const auto entry = decodeEntry(row);
+            REQUIRE(entry);
+            REQUIRE(applyEntry(tree, *entry));
+            line += row;
+        }
+        note(session, line);
+    };
+    attempt({"/system/drain_rate", "10", 0, {"system"}, {"r1"}});
+    attempt({"/system/drain_rate", "20", 0, {"system"}, {"r2"}});
+    attempt({"/system/refill_rate", "30", 0, {"system"}, {"r3"}});
+    attempt({"/system/drain_rate", "40", 1, {"wire"}, {"r4"}});
+    attempt({"/teams/wire/max_queued_tasks", "50", 0, {"wire"}, {"r5"}});
+    attempt({"/system/drain_rate", "\"fast\"", 1, {"system"}, {"r6"}});
+    note(session, "version " + std::to_string(tree.version));
+    compareTranscript(session, "racing-settings");
+}
--- /dev/null
+++ b/update-golden.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Rewrites the golden files from the present behavior; review the difference before committing it.
+set -euo pipefail
+cd "$(dirname "$0")"
+cmake --build build --target golden_test
+ACACIADEAL_UPDATE_GOLDEN=1 build/tests/golden/golden_test
+git diff --stat -- tests/golden/sessions
