--- /dev/null
+++ b/packages/requests/admission.cpp
@@ -0,0 +1,97 @@
+#include "requests/admission.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace acaciadeal {
+namespace {
+
+std::size_t indexOf(RequestClass requestClass)
+{
+    return static_cast<std::size_t>(requestClass);
+}
+
+std::size_t totalQueued(const AdmissionQueue &queue)
+{
+    return std::accumulate(queue.queuedByClass.begin(), queue.queuedByClass.end(), std::size_t{0});
+}
+
+bool hasLowerClass(const AdmissionQueue &queue, RequestClass requestClass)
+{
+    for (std::size_t n = indexOf(requestClass) + 1; n < requestClassCount; ++n) {
+        if (queue.queuedByClass[n] > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::optional<QueueKey> displaceLast(AdmissionQueue &queue)
+{
+    const ServiceId *service = nullptr;
+    std::optional<QueueKey> last;
+    for (const auto &[name, keys] : queue.waiting) {
+        if (!last || *keys.rbegin() > *last) {
+            last = *keys.rbegin();
+            service = &name;
+        }
+    }
+    if (last) {
+        dequeue(queue, ServiceId(*service), *last);
+    }
+    return last;
+}
+
+} // namespace
+
+bool admits(const AdmissionQueue &queue, RequestClass requestClass)
+{
+    const std::size_t index = indexOf(requestClass);
+    return queue.queuedByClass[index] < queue.limits.maxQueued[index]
+           && (totalQueued(queue) < queue.limits.maxQueuedTotal
+               || hasLowerClass(queue, requestClass));
+}
+
+AdmissionDecision enqueue(AdmissionQueue &queue, const ServiceId &service, const QueueKey &key)
+{
+    AdmissionDecision decision;
+    if (!admits(queue, key.requestClass)) {
+        return decision;
+    }
+    if (totalQueued(queue) >= queue.limits.maxQueuedTotal) {
+        decision.displaced = displaceLast(queue);
+    }
+    decision.admitted = true;
+    queue.waiting[service].insert(key);
+    ++queue.queuedByClass[indexOf(key.requestClass)];
+    return decision;
+}
+
+bool dequeue(AdmissionQueue &queue, const ServiceId &service, const QueueKey &key)
+{
+    const auto it = queue.waiting.find(service);
+    if (it == queue.waiting.end() || it->second.erase(key) == 0) {
+        return false;
+    }
+    --queue.queuedByClass[indexOf(key.requestClass)];
+    if (it->second.empty()) {
+        queue.waiting.erase(it);
+    }
+    return true;
+}
+
+bool mayTakeSlot(const AdmissionLimits &limits, const SlotsByClass &used, std::uint32_t totalSlots,
+                 RequestClass requestClass)
+{
+    // A class counts together with the classes below it, so that normal and batch requests
+    // together leave the reserve of the urgent ones alone.
+    std::uint32_t usedBelow = 0;
+    for (std::size_t n = indexOf(requestClass); n < requestClassCount; ++n) {
+        usedBelow += used[n];
+    }
+    const std::uint32_t allowed =
+        std::max<std::uint32_t>(1, totalSlots * limits.slotPercent[indexOf(requestClass)] / 100);
+    return usedBelow < allowed;
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/requests/circuitbreaker.h
@@ -0,0 +1,60 @@
+#ifndef ACACIADEAL_REQUESTS_CIRCUITBREAKER_H
+#define ACACIADEAL_REQUESTS_CIRCUITBREAKER_H
+
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace acaciadeal {
+
+enum class BreakerState : std::uint8_t {
+    Closed,
+    /// No request until the suspension ends.
+    Open,
+    /// One trial request is in progress.
+    HalfOpen,
+};
+
+struct BreakerOptions
+{
+    /// Failures in a row that open the breaker.
+    std::uint32_t consecutiveFailures = 5;
+    /// Failures among the last 20 attempts that open the breaker.
+    std::uint32_t failuresOfTwenty = 10;
+    Duration firstSuspension = std::chrono::seconds(1);
+    /// The suspension doubles with each failed trial up to this bound.
+    Duration maxSuspension = std::chrono::seconds(30);
+};
+
+/// Circuit breaker of one instance. Not thread-safe.
+struct CircuitBreaker
+{
+    BreakerState state = BreakerState::Closed;
+    std::uint32_t failuresInARow = 0;
+    /// Last 20 attempts, one bit each; a set bit is a failure.
+    std::uint32_t history = 0;
+    Duration suspension{0};
+    TimePoint suspendedUntil;
+};
+
+enum class AttemptHealth : std::uint8_t {
+    Success,
+    Failure,
+    /// Says nothing about the instance's health, for example a refusal for lack of a slot.
+    Neutral,
+};
+
+/// Returns whether a request may be sent now, as a trial if the state is Open.
+bool allows(const CircuitBreaker &breaker, TimePoint now);
+
+/// Notes that a request is sent. Precondition: allows() returned true.
+void onAttempt(CircuitBreaker &breaker);
+
+/// Notes the end of an attempt. @p trial tells whether the attempt was the trial request; an
+/// attempt from before the breaker opened changes nothing while it is open.
+void onResult(CircuitBreaker &breaker, const BreakerOptions &options, AttemptHealth health,
+              bool trial, TimePoint now);
+
+} // namespace acaciadeal
+
+#endif
--- /dev/null
+++ b/packages/requests/circuitbreaker_test.cpp
@@ -0,0 +1,96 @@
+#include "requests/circuitbreaker.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+using std::chrono::seconds;
+
+namespace {
+
+const BreakerOptions options;
+const TimePoint start{};
+
+void fail(CircuitBreaker &breaker, std::uint32_t times)
+{
+    for (std::uint32_t n = 0; n < times; ++n) {
+        onAttempt(breaker);
+        onResult(breaker, options, AttemptHealth::Failure, false, start);
+    }
+}
+
+} // namespace
+
+// Guards against a single failure suspending an instance, and against endless use of a broken one.
+TEST_CASE("the breaker opens after failures in a row")
+{
+    CircuitBreaker breaker;
+    fail(breaker, 4);
+    CHECK(allows(breaker, start));
+    onResult(breaker, options, AttemptHealth::Neutral, false, start);
+    CHECK(allows(breaker, start));
+    fail(breaker, 1);
+    CHECK(breaker.state == BreakerState::Open);
+    CHECK_FALSE(allows(breaker, start));
+}
+
+// Guards against an instance that fails every other request staying in use.
+TEST_CASE("the breaker opens after ten failures among twenty attempts")
+{
+    CircuitBreaker breaker;
+    for (int n = 0; n < 9; ++n) {
+        fail(breaker, 1);
+        onResult(breaker, options, AttemptHealth::Success, false, start);
+    }
+    CHECK(allows(breaker, start));
+    fail(breaker, 1);
+    CHECK_FALSE(allows(breaker, start));
+}
+
+// Guards against a stampede on an instance that has just come back.
+TEST_CASE("one trial request decides whether the breaker closes")
+{
+    CircuitBreaker breaker;
+    fail(breaker, 5);
+    const TimePoint firstTrial = start + seconds(1);
+    CHECK_FALSE(allows(breaker, firstTrial - milliseconds(1)));
+    REQUIRE(allows(breaker, firstTrial));
+    onAttempt(breaker);
+    CHECK(breaker.state == BreakerState::HalfOpen);
+    CHECK_FALSE(allows(breaker, firstTrial));
+
+    // A late success of an earlier attempt is no evidence about the present.
+    onResult(breaker, options, AttemptHealth::Success, false, firstTrial);
+    CHECK_FALSE(allows(breaker, firstTrial));
+
+    onResult(breaker, options, AttemptHealth::Failure, true, firstTrial);
+    CHECK_FALSE(allows(breaker, firstTrial + seconds(2) - milliseconds(1)));
+    REQUIRE(allows(breaker, firstTrial + seconds(2)));
+    onAttempt(breaker);
+    onResult(breaker, options, AttemptHealth::Success, true, firstTrial + seconds(2));
+    CHECK(breaker.state == BreakerState::Closed);
+    CHECK(allows(breaker, firstTrial + seconds(2)));
+}
+
+// Guards against a trial that was refused blocking all further trials.
+TEST_CASE("a trial without evidence leads to another trial")
+{
+    CircuitBreaker breaker;
+    fail(breaker, 5);
+    onAttempt(breaker);
+    onResult(breaker, options, AttemptHealth::Neutral, true, start + seconds(1));
+    CHECK_FALSE(allows(breaker, start + seconds(1)));
+    CHECK(allows(breaker, start + seconds(2)));
+}
+
+TEST_CASE("the suspension has an upper bound")
+{
+    CircuitBreaker breaker;
+    fail(breaker, 5);
+    TimePoint now = start;
+    for (int n = 0; n < 10; ++n) {
+        now = breaker.suspendedUntil;
+        onAttempt(breaker);
+        onResult(breaker, options, AttemptHealth::Failure, true, now);
+    }
+    CHECK(breaker.suspendedUntil - now == seconds(30));
+}
--- /dev/null
+++ b/packages/requests/requestrecord_test.cpp
@@ -0,0 +1,54 @@
+#include "requests/requestrecord.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+const std::string print = contentFingerprint("crew", {"filing"}, "defect 7");
+const RequestRecord started = claimRecord(nullptr, {"entry-0"}, "t1", print);
+
+} // namespace
+
+// Guards against a request that may not be repeated being claimed while it may have run.
+TEST_CASE("the state of the record determines the result of a retry")
+{
+    CHECK(started.state == RecordState::Started);
+    CHECK(started.attempt == 1);
+    CHECK(decideClaim(started, print, false) == ClaimDecision::OutcomeUnknown);
+    CHECK(decideClaim(started, print, true) == ClaimDecision::Claim);
+
+    const RequestRecord done = doneRecord(started, "t2", {200, "text/plain", "filed"});
+    CHECK(decideClaim(done, print, false) == ClaimDecision::AnswerStored);
+    CHECK(decideClaim(done, print, true) == ClaimDecision::AnswerStored);
+    CHECK(done.answer == StoredAnswer{200, "text/plain", "filed"});
+
+    const RequestRecord notRun = notRunRecord(started, "t3");
+    CHECK(decideClaim(notRun, print, false) == ClaimDecision::Claim);
+    const RequestRecord second = claimRecord(&notRun, {"entry-1"}, "t4", print);
+    CHECK(second.attempt == 2);
+    CHECK(second.daemon == DaemonId{"entry-1"});
+    CHECK(second.transactionId == "t4");
+    CHECK(second.state == RecordState::Started);
+}
+
+// Guards against a caller receiving the answer to other content under a reused id.
+TEST_CASE("other content under the same id is refused in every state")
+{
+    const std::string other = contentFingerprint("crew", {"filing"}, "defect 8");
+    for (const RequestRecord &record :
+         {started, doneRecord(started, "t2", {}), notRunRecord(started, "t3")}) {
+        CHECK(decideClaim(record, other, true) == ClaimDecision::RequestIdReused);
+    }
+}
+
+// Guards against two requests sharing a fingerprint because their fields run together.
+TEST_CASE("the fingerprint depends on tenant, service and body")
+{
+    CHECK(print == contentFingerprint("crew", {"filing"}, "defect 7"));
+    CHECK(print != contentFingerprint("crewf", {"iling"}, "defect 7"));
+    CHECK(print != contentFingerprint("crew", {"filing"}, "defect 70"));
+    // Daemons of different versions share the table, so the function must never change.
+    CHECK(print == "0714c7e5b7cf01a46a391c8d50ee066a");
+}
--- /dev/null
+++ b/packages/requests/retrybudget_test.cpp
@@ -0,0 +1,32 @@
+#include "requests/retrybudget.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+// Guards against retries multiplying the load on failing instances.
+TEST_CASE("retries are bounded to a tenth of the requests")
+{
+    RetryBudget budget({});
+    int stock = 0;
+    while (takeRetry(budget)) {
+        ++stock;
+    }
+    CHECK(stock == 10);
+    int retries = 0;
+    for (int n = 0; n < 1000; ++n) {
+        onRequest(budget);
+        retries += takeRetry(budget) ? 1 : 0;
+    }
+    CHECK(retries == 100);
+}
+
+// Guards against a long quiet time saving up an unbounded burst of retries.
+TEST_CASE("the stock of retries is bounded")
+{
+    RetryBudget budget({.requestsPerRetry = 10, .maxRetries = 3});
+    for (int n = 0; n < 1000; ++n) {
+        onRequest(budget);
+    }
+    CHECK(retriesLeft(budget) == doctest::Approx(3));
+}
