--- a/packages/requests/admission.cpp
+++ b/packages/requests/admission.cpp
@@ -26,10 +26,10 @@
     return false;
 }
 
-std::optional<QueueKey> displaceLast(AdmissionQueue &queue)
+std::optional<RequestQueueKey> displaceLast(AdmissionQueue &queue)
 {
     const ServiceId *service = nullptr;
-    std::optional<QueueKey> last;
+    std::optional<RequestQueueKey> last;
     for (const auto &[name, keys] : queue.waiting) {
         if (!last || *keys.rbegin() > *last) {
             last = *keys.rbegin();
@@ -52,7 +52,8 @@
                || hasLowerClass(queue, requestClass));
 }
 
-AdmissionDecision enqueue(AdmissionQueue &queue, const ServiceId &service, const QueueKey &key)
+AdmissionDecision enqueue(AdmissionQueue &queue, const ServiceId &service,
+                          const RequestQueueKey &key)
 {
     AdmissionDecision decision;
     if (!admits(queue, key.requestClass)) {
@@ -67,7 +68,7 @@
     return decision;
 }
 
-bool dequeue(AdmissionQueue &queue, const ServiceId &service, const QueueKey &key)
+bool dequeue(AdmissionQueue &queue, const ServiceId &service, const RequestQueueKey &key)
 {
     const auto it = queue.waiting.find(service);
     if (it == queue.waiting.end() || it->second.erase(key) == 0) {
--- a/packages/requests/admission.h
+++ b/packages/requests/admission.h
@@ -27,20 +27,20 @@
 };
 
 /// Position in the queue: class, then deadline, then arrival.
-struct QueueKey
+struct RequestQueueKey
 {
     RequestClass requestClass = RequestClass::Normal;
     TimePoint deadline;
     std::uint64_t sequence = 0;
 
-    friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
+    friend auto operator<=>(const RequestQueueKey &, const RequestQueueKey &) = default;
 };
 
 /// Requests that wait for a slot, by service. Not thread-safe.
 struct AdmissionQueue
 {
     AdmissionLimits limits;
-    std::map<ServiceId, std::set<QueueKey>> waiting;
+    std::map<ServiceId, std::set<RequestQueueKey>> waiting;
     std::array<std::size_t, requestClassCount> queuedByClass{};
 };
 
@@ -48,7 +48,7 @@
 {
     bool admitted = false;
     /// Request of a lower class that has to give way and is refused; already removed.
-    std::optional<QueueKey> displaced;
+    std::optional<RequestQueueKey> displaced;
 };
 
 /// Returns whether enqueue() would admit a request of @p requestClass.
@@ -56,10 +56,11 @@
 
 /// Adds a request, or refuses it if the limit of its class is reached. If the whole queue is full,
 /// the last request of the lowest class below that of @p key gives way.
-AdmissionDecision enqueue(AdmissionQueue &queue, const ServiceId &service, const QueueKey &key);
+AdmissionDecision enqueue(AdmissionQueue &queue, const ServiceId &service,
+                          const RequestQueueKey &key);
 
 /// Removes a request. Returns whether it was queued.
-bool dequeue(AdmissionQueue &queue, const ServiceId &service, const QueueKey &key);
+bool dequeue(AdmissionQueue &queue, const ServiceId &service, const RequestQueueKey &key);
 
 /// Slots of one service that are in use, by class.
 using SlotsByClass = std::array<std::uint32_t, requestClassCount>;
--- a/packages/requests/admission_test.cpp
+++ b/packages/requests/admission_test.cpp
@@ -9,7 +9,7 @@
 const ServiceId service{"wear-scan"};
 const TimePoint start{};
 
-QueueKey key(RequestClass requestClass, int deadlineSeconds, std::uint64_t sequence)
+RequestQueueKey key(RequestClass requestClass, int deadlineSeconds, std::uint64_t sequence)
 {
     return {requestClass, start + std::chrono::seconds(deadlineSeconds), sequence};
 }
@@ -20,7 +20,7 @@
 TEST_CASE("the queue is ordered by class, then deadline, then arrival")
 {
     AdmissionQueue queue;
-    const std::vector<QueueKey> inOrder = {
+    const std::vector<RequestQueueKey> inOrder = {
         key(RequestClass::Urgent, 8, 5), key(RequestClass::Urgent, 9, 6),
         key(RequestClass::Normal, 2, 3), key(RequestClass::Normal, 2, 4),
         key(RequestClass::Batch, 1, 1)};
@@ -28,7 +28,7 @@
         REQUIRE(enqueue(queue, service, inOrder[n]).admitted);
     }
     const auto &waiting = queue.waiting.at(service);
-    CHECK(std::vector<QueueKey>(waiting.begin(), waiting.end()) == inOrder);
+    CHECK(std::vector<RequestQueueKey>(waiting.begin(), waiting.end()) == inOrder);
 }
 
 // Guards against a queue that grows without bound.
