--- /dev/null
+++ b/packages/daemon/requestservice_test.cpp
@@ -0,0 +1,1 @@
+#include "daemon/requestservice.h"
