--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "daemon/adminservice.h"
+#include "daemon/alertservice.h"
 #include "daemon/context.h"
 #include "daemon/jobservice.h"
 #include "daemon/memberservice.h"
@@ -20,6 +21,9 @@
 namespace acaciadeal {
 namespace {
 
+/// Time after the start in which the other daemons of the failure domain learn of a newcomer and
+/// shrink their shares of the instances: two heartbeats.
+constexpr Duration shareDelay = std::chrono::seconds(2);
 constexpr Duration releaseTimeout = std::chrono::seconds(5);
 /// Silence after which a daemon of another failure domain claims a shard; the daemons of the
 /// shard's own domain get 30 s to do so first.
@@ -71,7 +75,9 @@
     void onPlatformView();
     void onHeartbeat(const Heartbeat &heartbeat);
     void onMembers(const std::vector<MemberInfo> &members);
+    void beginToShare();
     void onPeerMessage(PeerMessage message, const PeerResponder &respond);
+    std::vector<DaemonId> membersOfDomain() const;
     void pushSettings(const SettingsEntries &entries);
     void fetchSettingsFrom(const Endpoint &peer);
 
@@ -93,10 +99,13 @@
     std::vector<std::unique_ptr<ShardRunner>> shards;
     std::unique_ptr<JobService> jobs;
     std::unique_ptr<AdminService> admin;
+    std::unique_ptr<AlertService> alerts;
     std::unique_ptr<HttpServer> httpServer;
     std::unique_ptr<PeerServer> peerServer;
     std::map<DaemonId, std::set<std::string>> leavingByPeer;
     bool fetchingSettings = false;
+    /// Whether this daemon uses its share of the instances yet; see shareDelay.
+    bool usesShare = false;
 };
 
 Result<void> Daemon::Impl::createPlatform()
@@ -146,13 +155,15 @@
     if (auto created = createShards(); !created) {
         return created;
     }
-    const auto routing = PluginRegistry<RoutingPolicy>::instance().find(settings.routingPolicy);
-    if (!routing) {
-        return tl::unexpected<Error>(routing.error());
+    auto requestService = RequestService::create(*context);
+    if (!requestService) {
+        return tl::unexpected<Error>(requestService.error());
     }
+    requests = std::move(*requestService);
     settingsService = std::make_unique<SettingsService>(
-        *context, [this](const SettingsEntries &entries) { pushSettings(entries); });
-    requests = std::make_unique<RequestService>(*context, *routing);
+        *context, SettingsServiceOptions{.pushToPeers = [this](const SettingsEntries &entries) {
+            pushSettings(entries);
+        }});
     members = std::make_unique<MemberService>(
         *context, makeSelf(settings),
         MemberServiceCallbacks{
@@ -175,11 +186,13 @@
                          [this] {
                              return requests->inProgress();
                          }});
+    alerts = std::make_unique<AlertService>(
+        *context, AlertSources{.settings = [this] { return settingsService->current(); },
+                               .membersOfDomain = [this] { return membersOfDomain(); }});
     addCommonRoutes();
-    settingsService->addRoutes(router);
-    requests->addRoutes(router);
     jobs->addRoutes();
     admin->addRoutes();
+    alerts->addRoutes();
     return {};
 }
 
@@ -221,7 +234,12 @@
     control.post([this] {
         watch->start([this] { onPlatformView(); });
         members->start();
-        settingsService->start();
+        alerts->start();
+        if (settings.seeds.empty()) {
+            beginToShare();
+        } else {
+            control.postAfter(shareDelay, [this] { beginToShare(); });
+        }
         for (const auto &shard : shards) {
             shard->start();
         }
@@ -244,10 +262,10 @@
             instances.push_back(host);
         }
     }
-    requests->setInstances(std::move(instances));
-    std::map<FailureDomainId, bool> domains;
+    requests->setInstances(instances);
+    std::map<FailureDomainId, DomainCondition> domains;
     for (const auto &[domain, domainView] : view.domains) {
-        domains[domain] = domainView.row.in;
+        domains[domain] = domainView.row.in ? DomainCondition::In : DomainCondition::Out;
     }
     requests->setDomainStates(std::move(domains));
 }
@@ -261,7 +279,7 @@
         for (const auto &[daemon, instances] : leavingByPeer) {
             leaving.insert(instances.begin(), instances.end());
         }
-        requests->setLeaving(std::move(leaving));
+        requests->setLeaving(leaving);
     }
     if (heartbeat.settingsVersion > settingsService->version()) {
         fetchSettingsFrom(heartbeat.sender.peer);
@@ -275,7 +293,30 @@
         live.insert(member.daemon);
     }
     std::erase_if(leavingByPeer, [&live](const auto &item) { return !live.contains(item.first); });
-    requests->setMembers(members);
+    std::vector<MemberInfo> sharing = members;
+    if (!usesShare) {
+        std::erase_if(sharing, [this](const MemberInfo &member) {
+            return member.daemon == settings.daemon;
+        });
+    }
+    requests->setMembers(sharing);
+}
+
+void Daemon::Impl::beginToShare()
+{
+    usesShare = true;
+    onMembers(members->live());
+}
+
+std::vector<DaemonId> Daemon::Impl::membersOfDomain() const
+{
+    std::vector<DaemonId> result;
+    for (const MemberInfo &member : members->live()) {
+        if (member.failureDomain == settings.failureDomain) {
+            result.push_back(member.daemon);
+        }
+    }
+    return result;
 }
 
 void Daemon::Impl::fetchSettingsFrom(const Endpoint &peer)
@@ -285,14 +326,19 @@
     }
     fetchingSettings = true;
     peers.call(peer, SettingsFetch{settingsService->version()}, std::chrono::seconds(2),
-               [this](Result<PeerMessage> answer) {
-                   control.post([this, answer = std::move(answer)] {
+               [this, peer](Result<PeerMessage> answer) {
+                   control.post([this, peer, answer = std::move(answer)] {
                        fetchingSettings = false;
-                       if (!answer) {
+                       const auto *entries
+                           = answer ? std::get_if<SettingsEntries>(&*answer) : nullptr;
+                       if (entries == nullptr || entries->entries.empty()) {
                            return;
                        }
-                       if (const auto *entries = std::get_if<SettingsEntries>(&*answer)) {
-                           settingsService->onPeerEntries(*entries);
+                       const std::uint64_t before = settingsService->version();
+                       // An answer may hold only a part of what is missing.
+                       if (settingsService->onPeerEntries(*entries)
+                           && settingsService->version() > before) {
+                           fetchSettingsFrom(peer);
                        }
                    });
                });
@@ -314,7 +360,7 @@
 void Daemon::Impl::onPeerMessage(PeerMessage message, const PeerResponder &respond)
 {
     if (auto *request = std::get_if<ForwardedRequest>(&message)) {
-        requests->handlePeer(std::move(*request), respond);
+        requests->handlePeer(*request, respond);
         return;
     }
     control.post([this, message = std::move(message), respond] {
