Add the settings parser, schema and settings tree

Operators and daemons had no form for settings. The settings package now parses JSON with comments (duplicate keys, line and column of syntax errors), reads the daemon file, checks values against a schema and keeps the tree as pure logic that only moves from version V to V + 1. docs/settings.md is compared with the schema by settings_test; example files for both deployments are parsed by it.

--- /dev/null
+++ b/packages/settings/daemonsettings_test.cpp
@@ -0,0 +1,84 @@
+#include "settings/daemonsettings.h"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+
+using namespace acaciadeal;
+
+namespace {
+
+const std::string minimal = R"({"daemon":"d1","deployment":"x","region":"r","failure_domain":"a",
+"failure_domains":["a","b"],"http_listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
+"platform":{"endpoint":"127.0.0.1:3"})";
+
+Error errorOf(const std::string &text)
+{
+    const auto settings = parseDaemonSettings(text);
+    REQUIRE_FALSE(settings.has_value());
+    return settings.error();
+}
+
+std::vector<std::filesystem::path> filesIn(const std::string &folder)
+{
+    std::vector<std::filesystem::path> files;
+    const auto root = std::filesystem::path(ACACIADEAL_SOURCE_DIR) / "settings" / folder;
+    for (const auto &entry : std::filesystem::directory_iterator(root)) {
+        files.push_back(entry.path());
+    }
+    return files;
+}
+
+} // namespace
+
+TEST_CASE("absent settings have their defaults")
+{
+    const auto settings = parseDaemonSettings(minimal + "}");
+    REQUIRE(settings.has_value());
+    CHECK(settings->platformAdapter == "http");
+    CHECK(settings->platformTimeout == std::chrono::seconds(3));
+    CHECK(settings->trafficThreads == 2);
+    CHECK(settings->routingPolicy == "two-choices");
+    CHECK(settings->failureDomains.size() == 2);
+    CHECK((settings->platformEndpoint == Endpoint{"127.0.0.1", 3}));
+}
+
+// Guards against a daemon that starts with a setting other than the operator wrote.
+TEST_CASE("each kind of fault is refused with its code and path")
+{
+    CHECK(errorOf(minimal).code == ResultCode::SyntaxError);
+    CHECK(errorOf(minimal + R"(,"trafic_threads":2})")
+          == Error{ResultCode::UnknownSetting, "no such setting", "/trafic_threads"});
+    CHECK(errorOf(minimal + R"(,"traffic_threads":"2"})").code == ResultCode::WrongType);
+    CHECK(errorOf(minimal + R"(,"traffic_threads":0})").code == ResultCode::OutOfRange);
+    CHECK(errorOf(minimal + R"(,"daemon":"d2"})").code == ResultCode::DuplicateKey);
+    CHECK(errorOf(minimal + R"(,"embedded_worker":true})").code
+          == ResultCode::IncompatibleSettings);
+    CHECK(errorOf(minimal + R"(,"seeds":["somewhere"]})").where == "/seeds");
+    CHECK(errorOf(minimal + R"(,"tokens":{"":"system"}})").code == ResultCode::OutOfRange);
+    CHECK(errorOf("{}") == Error{ResultCode::MissingSetting, "the setting is required", "/daemon"});
+    CHECK(errorOf("[]").code == ResultCode::WrongType);
+    CHECK(readDaemonSettings("/nonexistent/x.json").error().code == ResultCode::FileUnreadable);
+}
+
+// Guards against example files that drift away from the parser.
+TEST_CASE("the example files are valid and consistent with each other")
+{
+    for (const std::string folder : {"merrimack", "cooperative"}) {
+        const auto files = filesIn(folder);
+        REQUIRE(files.size() == 3);
+        for (const auto &file : files) {
+            CAPTURE(file.string());
+            const auto settings = readDaemonSettings(file.string());
+            REQUIRE_MESSAGE(settings.has_value(), settings.error().message);
+            CHECK(settings->deployment == folder);
+            CHECK(settings->failureDomain.value == file.stem().string());
+            CHECK(settings->failureDomains.size() == 3);
+            CHECK((settings->platformEndpoint == Endpoint{"127.0.0.1", 7100}));
+        }
+    }
+    const auto embedded =
+        readDaemonSettings(std::string(ACACIADEAL_SOURCE_DIR) + "/settings/embedded.json");
+    REQUIRE_MESSAGE(embedded.has_value(), embedded.error().message);
+    CHECK(embedded->embeddedWorker);
+    CHECK(embedded->platformAdapter == "memory");
+}
--- /dev/null
+++ b/packages/settings/jsontext.cpp
@@ -0,0 +1,112 @@
+#include "settings/jsontext.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <vector>
+
+namespace acaciadeal {
+namespace {
+
+using nlohmann::json;
+
+std::string positionText(const std::string &text, std::size_t offset)
+{
+    const std::size_t end = std::min(offset, text.size());
+    std::size_t line = 1;
+    std::size_t lineStart = 0;
+    for (std::size_t n = 0; n < end; ++n) {
+        if (text[n] == '\n') {
+            ++line;
+            lineStart = n + 1;
+        }
+    }
+    return "line " + std::to_string(line) + ", column " + std::to_string(end - lineStart + 1);
+}
+
+/// Keys seen so far in the objects and arrays that are open; arrays have none.
+struct OpenContainer
+{
+    std::set<std::string> keys;
+    std::string currentKey;
+};
+
+std::string pathOfOpen(const std::vector<OpenContainer> &open)
+{
+    std::string path;
+    for (const OpenContainer &container : open) {
+        if (!container.currentKey.empty()) {
+            path += "/" + container.currentKey;
+        }
+    }
+    return path;
+}
+
+/// Watches the parser's events and keeps the first fault that the parser itself accepts.
+class StructureCheck
+{
+public:
+    bool operator()(int depth, json::parse_event_t event, const json &value)
+    {
+        switch (event) {
+        case json::parse_event_t::object_start:
+        case json::parse_event_t::array_start:
+            if (depth >= maxJsonDepth && fault.code == ResultCode::Ok) {
+                fault = {ResultCode::SyntaxError,
+                         "nested deeper than " + std::to_string(maxJsonDepth) + " levels",
+                         pathOfOpen(m_open)};
+            }
+            m_open.emplace_back();
+            break;
+        case json::parse_event_t::object_end:
+        case json::parse_event_t::array_end:
+            m_open.pop_back();
+            break;
+        case json::parse_event_t::key: {
+            OpenContainer &object = m_open.back();
+            object.currentKey = value.get<std::string>();
+            if (!object.keys.insert(object.currentKey).second && fault.code == ResultCode::Ok) {
+                fault = {ResultCode::DuplicateKey,
+                         "key \"" + object.currentKey + "\" appears twice", pathOfOpen(m_open)};
+            }
+            break;
+        }
+        case json::parse_event_t::value:
+            break;
+        }
+        return true;
+    }
+
+    Error fault;
+
+private:
+    std::vector<OpenContainer> m_open;
+};
+
+} // namespace
+
+Result<std::string> normalizeJson(const std::string &text)
+{
+    StructureCheck check;
+    try {
+        const json value = json::parse(
+            text,
+            [&check](int depth, json::parse_event_t event, json &parsed) {
+                return check(depth, event, parsed);
+            },
+            true, true);
+        if (check.fault.code != ResultCode::Ok) {
+            return tl::unexpected<Error>(check.fault);
+        }
+        return value.dump();
+    } catch (const json::parse_error &e) {
+        // The offset counts the bytes read, including the offending one.
+        const std::size_t offset = e.byte > 0 ? e.byte - 1 : 0;
+        return failure(ResultCode::SyntaxError, e.what(), positionText(text, offset));
+    } catch (const json::exception &e) {
+        // A number that no double can hold.
+        return failure(ResultCode::SyntaxError, e.what());
+    }
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/settings/settingstree_test.cpp
@@ -0,0 +1,159 @@
+#include "settings/settingstree.h"
+
+#include "settings/schema.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+SettingsWrite writeOf(std::string path, std::string value, std::uint64_t expected,
+                      std::string id, std::string team = "system")
+{
+    return {.path = std::move(path),
+            .value = std::move(value),
+            .expectedPathVersion = expected,
+            .team = {std::move(team)},
+            .requestId = {std::move(id)}};
+}
+
+SettingsEntry accept(SettingsTree &tree, const SettingsWrite &write)
+{
+    const auto prepared = prepareWrite(tree, write);
+    REQUIRE_MESSAGE(prepared.has_value(), prepared.error().message);
+    const auto applied = applyEntry(tree, prepared->entry);
+    REQUIRE(applied.has_value());
+    return prepared->entry;
+}
+
+ResultCode refusal(const SettingsTree &tree, const SettingsWrite &write)
+{
+    const auto prepared = prepareWrite(tree, write);
+    return prepared ? ResultCode::Ok : prepared.error().code;
+}
+
+} // namespace
+
+// Guards against a version that goes back or skips a change.
+TEST_CASE("only the next version is applied")
+{
+    SettingsTree tree;
+    const auto first = accept(tree, writeOf("/system/drain_rate", "30", 0, "r1"));
+    accept(tree, writeOf("/system/drain_rate", "40", 1, "r2"));
+    const SettingsTree before = tree;
+    CHECK(applyEntry(tree, first).value() == ApplyOutcome::Older);
+    SettingsEntry future = first;
+    future.version = 9;
+    CHECK(applyEntry(tree, future).error().code == ResultCode::MissingEntry);
+    SettingsEntry foreign = first;
+    foreign.version = 3;
+    CHECK(applyEntry(tree, foreign).error().code == ResultCode::InvariantViolated);
+    CHECK(tree == before);
+    CHECK(numberInForce(tree, "/system/drain_rate").value() == 40);
+}
+
+// Guards against a writer overwriting a change that it has not seen.
+TEST_CASE("a write names the version of its own path only")
+{
+    SettingsTree tree;
+    accept(tree, writeOf("/system/drain_rate", "30", 0, "r1"));
+    CHECK(refusal(tree, writeOf("/system/drain_rate", "50", 0, "r2"))
+          == ResultCode::VersionConflict);
+    CHECK(refusal(tree, writeOf("/system/drain_rate", "50", 2, "r2"))
+          == ResultCode::VersionConflict);
+    CHECK(refusal(tree, writeOf("/system/refill_rate", "50", 0, "r2")) == ResultCode::Ok);
+}
+
+// Guards against a path version being given twice after a removal.
+TEST_CASE("removing a value restores the default and keeps counting")
+{
+    SettingsTree tree;
+    accept(tree, writeOf("/system/drain_rate", "30", 0, "r1"));
+    const auto removal = accept(tree, writeOf("/system/drain_rate", "null", 1, "r2"));
+    CHECK(removal.value.empty());
+    CHECK(numberInForce(tree, "/system/drain_rate").value() == 20);
+    CHECK(refusal(tree, writeOf("/system/drain_rate", "50", 0, "r3"))
+          == ResultCode::VersionConflict);
+    CHECK(accept(tree, writeOf("/system/drain_rate", "50", 2, "r3")).pathVersion == 3);
+}
+
+// Guards against a team changing the settings of another team or of the system.
+TEST_CASE("a team writes only below its own path")
+{
+    const SettingsTree tree;
+    CHECK(refusal(tree, writeOf("/teams/crew/weight", "2", 0, "r", "crew")) == ResultCode::Ok);
+    CHECK(refusal(tree, writeOf("/teams/crew2/weight", "2", 0, "r", "crew"))
+          == ResultCode::PermissionDenied);
+    CHECK(refusal(tree, writeOf("/system/drain_rate", "2", 0, "r", "crew"))
+          == ResultCode::PermissionDenied);
+    CHECK(refusal(tree, writeOf("/alerts/r", "{}", 0, "r", "crew"))
+          == ResultCode::PermissionDenied);
+    CHECK(refusal(tree, writeOf("/teams/crew/weight", "2", 0, "r", ""))
+          == ResultCode::PermissionDenied);
+    CHECK(refusal(tree, writeOf("/teams/crew/weight", "2", 0, "r")) == ResultCode::Ok);
+}
+
+// Guards against a repeated write being refused or carried out twice.
+TEST_CASE("a repeated request id returns the first outcome")
+{
+    SettingsTree tree;
+    const auto first = accept(tree, writeOf("/system/drain_rate", "30", 0, "r1"));
+    accept(tree, writeOf("/system/drain_rate", "40", 1, "r2"));
+    const auto again = prepareWrite(tree, writeOf("/system/drain_rate", "30", 0, "r1"));
+    REQUIRE(again.has_value());
+    CHECK(again->alreadyAccepted);
+    CHECK(again->entry == first);
+    CHECK(refusal(tree, writeOf("/system/drain_rate", "31", 0, "r1"))
+          == ResultCode::RequestIdReused);
+}
+
+// Guards against leases that lapse between two renewals, set by two separate changes.
+TEST_CASE("settings that exclude each other are refused")
+{
+    SettingsTree tree;
+    CHECK(refusal(tree, writeOf("/system/leases/renew_period_ms", "8000", 0, "r1"))
+          == ResultCode::IncompatibleSettings);
+    accept(tree, writeOf("/system/leases/lease_ms", "20000", 0, "r1"));
+    accept(tree, writeOf("/system/leases/renew_period_ms", "8000", 0, "r2"));
+    CHECK(refusal(tree, writeOf("/system/leases/lease_ms", "null", 1, "r3"))
+          == ResultCode::IncompatibleSettings);
+}
+
+TEST_CASE("entries and snapshots survive encoding")
+{
+    SettingsTree tree;
+    const auto entry = accept(tree, writeOf("/teams/crew/quota", R"({"milli_cores":4})", 0, "r1"));
+    accept(tree, writeOf("/teams/crew/quota", "null", 1, "r2"));
+    CHECK(decodeEntry(encodeEntry(entry)).value() == entry);
+    CHECK(decodeSnapshot(encodeSnapshot(tree)).value() == tree);
+}
+
+// Guards against a damaged row or object being taken for settings.
+TEST_CASE("damaged stored forms are refused")
+{
+    const std::string entry = encodeEntry({.version = 1, .path = "/system/drain_rate"});
+    CHECK(decodeEntry(entry.substr(0, entry.size() / 2)).error().code == ResultCode::TornEntry);
+    CHECK(decodeEntry("{\"format\":9}").error().code == ResultCode::UnsupportedFormat);
+    const std::string snapshot = encodeSnapshot({});
+    CHECK(decodeSnapshot(snapshot.substr(0, 10)).error().code == ResultCode::CorruptSnapshot);
+    CHECK(decodeSnapshot("[]").error().code == ResultCode::CorruptSnapshot);
+}
+
+// Guards against a tree that grows with every request.
+TEST_CASE("the memory of request ids is bounded")
+{
+    SettingsTree tree;
+    for (std::uint64_t n = 0; n < rememberedRequests + 10; ++n) {
+        accept(tree, writeOf("/system/drain_rate", "30", n, "r" + std::to_string(n)));
+    }
+    CHECK(tree.accepted.size() == rememberedRequests);
+    CHECK(refusal(tree, writeOf("/system/drain_rate", "30", 0, "r0"))
+          == ResultCode::VersionConflict);
+}
+
+TEST_CASE("log keys sort like versions")
+{
+    CHECK(settingsLogKey(9) < settingsLogKey(10));
+    CHECK(settingsLogKey(99) < settingsLogKey(18446744073709551615ULL));
+}
