Add alert rules, their evaluation and the import of old rule lists

Operators move alert rules line by line from the replaced setup, and there was no rule form to move them to. The alerts package checks rules against a catalogue of exported metrics, evaluates them as pure logic and names one reporter per fault. The import gives every old line an outcome. alerts_test makes each comparison, hold time, missing series, counter rate and quantile fire.

--- /dev/null
+++ b/packages/alerts/evaluation.cpp
@@ -0,0 +1,309 @@
+#include "alerts/evaluation.h"
+
+#include "alerts/metriccatalogue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace acaciadeal {
+namespace {
+
+/// Points kept per window; the window is met to within this fraction.
+constexpr int pointsPerWindow = 30;
+
+std::uint64_t rendezvousHash(const std::string &rule, const DaemonId &daemon)
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const std::string *part : {&rule, &daemon.value}) {
+        for (const char c : *part) {
+            hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+        }
+        hash = (hash ^ 0xffU) * 0x100000001b3ULL;
+    }
+    // FNV-1a spreads the last bytes badly, and daemon names differ in them.
+    hash = (hash ^ hash >> 30) * 0xbf58476d1ce4e5b9ULL;
+    hash = (hash ^ hash >> 27) * 0x94d049bb133111ebULL;
+    return hash ^ hash >> 31;
+}
+
+bool matches(const AlertRule &rule, const MetricLabels &labels)
+{
+    return std::all_of(rule.labels.begin(), rule.labels.end(), [&labels](const auto &wanted) {
+        const auto it = labels.find(wanted.first);
+        return it != labels.end() && it->second == wanted.second;
+    });
+}
+
+/// Returns the series of @p samples whose counter values the rule needs over time.
+bool usesHistory(const AlertRule &rule, const std::string &name)
+{
+    return rule.over.count() != 0 && name == (rule.quantile ? rule.metric + "_bucket" : rule.metric);
+}
+
+void recordHistory(AlertState &state, std::span<const AlertRule> rules,
+                   const std::vector<MetricSample> &samples, TimePoint now)
+{
+    std::map<std::string, milliseconds> windows;
+    for (const AlertRule &rule : rules) {
+        if (rule.over.count() != 0) {
+            auto &window = windows[rule.quantile ? rule.metric + "_bucket" : rule.metric];
+            window = std::max(window, rule.over);
+        }
+    }
+    for (const MetricSample &sample : samples) {
+        const auto window = windows.find(sample.name);
+        if (window == windows.end() || !std::isfinite(sample.value)) {
+            continue;
+        }
+        auto &points = state.history[{sample.name, sample.labels}];
+        // A counter appears with its first event. It was zero at the evaluation before.
+        if (points.empty() && state.evaluatedAt) {
+            points.push_back({*state.evaluatedAt, 0});
+        }
+        // Among close points only the newest is kept, but a counter that went back always starts
+        // a new point, because the growth before it would be lost.
+        const auto spacing = window->second / pointsPerWindow;
+        if (points.size() >= 2 && points.back().at - points[points.size() - 2].at < spacing
+            && sample.value >= points.back().value) {
+            points.pop_back();
+        }
+        points.push_back({now, sample.value});
+        // One point at or before the start of the window is kept as its beginning.
+        while (points.size() > 2 && points[1].at <= now - window->second) {
+            points.pop_front();
+        }
+    }
+    std::erase_if(state.history, [&](const auto &entry) {
+        const auto window = windows.find(entry.first.first);
+        return window == windows.end() || entry.second.back().at < now - window->second;
+    });
+}
+
+/// Returns the growth of a counter within the window, and the time that it covers in seconds. A
+/// value below the one before it means that the counter started again from zero.
+std::pair<double, double> growth(const std::deque<CounterPoint> &points, TimePoint now,
+                                 milliseconds window)
+{
+    std::size_t first = 0;
+    while (first + 1 < points.size() && points[first + 1].at <= now - window) {
+        ++first;
+    }
+    double sum = 0;
+    for (std::size_t n = first + 1; n < points.size(); ++n) {
+        const double before = points[n - 1].value;
+        const double value = points[n].value;
+        sum += value >= before ? value - before : value;
+    }
+    return {sum, std::chrono::duration<double>(points.back().at - points[first].at).count()};
+}
+
+/// Returns the upper bound of the bucket that contains the quantile, or nothing without requests.
+std::optional<double> quantileOf(const std::map<double, double> &cumulativeByBound, double quantile)
+{
+    if (cumulativeByBound.empty() || cumulativeByBound.rbegin()->second <= 0) {
+        return std::nullopt;
+    }
+    const double rank = quantile * cumulativeByBound.rbegin()->second;
+    for (const auto &[bound, cumulative] : cumulativeByBound) {
+        if (cumulative >= rank) {
+            return bound;
+        }
+    }
+    return cumulativeByBound.rbegin()->first;
+}
+
+/// Values of the rule's series at present. A series without a value is present but has no rate or
+/// quantile yet; the condition does not hold for it.
+using RuleValues = std::map<MetricLabels, std::optional<double>>;
+
+RuleValues quantileValues(const AlertRule &rule, const std::vector<MetricSample> &samples,
+                          const AlertState &state, TimePoint now)
+{
+    std::map<MetricLabels, std::map<double, double>> buckets;
+    for (const MetricSample &sample : samples) {
+        const auto bound = sample.labels.find("le");
+        if (!usesHistory(rule, sample.name) || bound == sample.labels.end()
+            || !matches(rule, sample.labels)) {
+            continue;
+        }
+        MetricLabels labels = sample.labels;
+        labels.erase("le");
+        const auto points = state.history.find({sample.name, sample.labels});
+        if (points != state.history.end()) {
+            // strtod() reads "inf" and "+Inf" too.
+            buckets[std::move(labels)][std::strtod(bound->second.c_str(), nullptr)] =
+                growth(points->second, now, rule.over).first;
+        }
+    }
+    RuleValues values;
+    for (const auto &[labels, cumulativeByBound] : buckets) {
+        values[labels] = quantileOf(cumulativeByBound, *rule.quantile);
+    }
+    return values;
+}
+
+RuleValues valuesOf(const AlertRule &rule, const std::vector<MetricSample> &samples,
+                    const AlertState &state, TimePoint now)
+{
+    if (rule.quantile) {
+        return quantileValues(rule, samples, state, now);
+    }
+    RuleValues values;
+    for (const MetricSample &sample : samples) {
+        if (sample.name != rule.metric || !std::isfinite(sample.value)
+            || !matches(rule, sample.labels)) {
+            continue;
+        }
+        if (rule.over.count() == 0) {
+            values[sample.labels] = sample.value;
+            continue;
+        }
+        const auto points = state.history.find({sample.name, sample.labels});
+        const auto [sum, seconds] = points == state.history.end()
+            ? std::pair<double, double>{0, 0}
+            : growth(points->second, now, rule.over);
+        values[sample.labels] = seconds > 0 ? std::optional(sum / seconds) : std::nullopt;
+    }
+    return values;
+}
+
+/// Evaluates one rule and collects its notices.
+class RuleEvaluator
+{
+public:
+    RuleEvaluator(const AlertRule &rule, const AlertReporter &reporter, AlertEvaluation &out)
+        : m_rule(rule)
+        , m_reporter(reporter)
+        , m_out(out)
+    {
+        const MetricInfo *metric = findMetric(rule.metric);
+        m_ownMetric = metric == nullptr || metric->scope == MetricScope::Daemon;
+        m_reports = m_ownMetric || reporter.liveMembers.empty()
+            || reporterOf(rule.name, reporter.liveMembers) == reporter.self;
+    }
+
+    void present(const MetricLabels &labels, std::optional<double> value, TimePoint now)
+    {
+        AlertSeries &series = m_out.state.series[{m_rule.name, labels}];
+        series.missing = false;
+        series.value = value.value_or(0);
+        if (!value || !conditionHolds(m_rule, *value)) {
+            series.holdsSince.reset();
+            if (series.firing) {
+                report(m_out.resolved, labels, series);
+            }
+            series.firing = false;
+            series.reported = false;
+            return;
+        }
+        if (!series.holdsSince) {
+            series.holdsSince = now;
+        }
+        series.firing = series.firing || now - *series.holdsSince >= m_rule.holdFor;
+        reportFiring(labels, series);
+    }
+
+    void absent(const MetricLabels &labels, AlertSeries &series)
+    {
+        if (!series.missing) {
+            series.missing = true;
+            report(m_out.missing, labels, series);
+        }
+        if (series.firing) {
+            reportFiring(labels, series);
+        } else {
+            series.holdsSince.reset();
+        }
+    }
+
+private:
+    void reportFiring(const MetricLabels &labels, AlertSeries &series)
+    {
+        if (!series.firing) {
+            return;
+        }
+        m_out.active.push_back(notice(labels, series));
+        if (m_reports && !series.reported) {
+            series.reported = true;
+            m_out.fired.push_back(m_out.active.back());
+        }
+    }
+
+    void report(std::vector<AlertNotice> &notices, const MetricLabels &labels,
+                const AlertSeries &series)
+    {
+        if (m_reports) {
+            notices.push_back(notice(labels, series));
+        }
+    }
+
+    AlertNotice notice(MetricLabels labels, const AlertSeries &series) const
+    {
+        if (m_ownMetric) {
+            labels["daemon"] = m_reporter.self.value;
+        }
+        return {m_rule.name, m_rule.severity, std::move(labels), series.value};
+    }
+
+    const AlertRule &m_rule;
+    const AlertReporter &m_reporter;
+    AlertEvaluation &m_out;
+    bool m_ownMetric = true;
+    bool m_reports = true;
+};
+
+} // namespace
+
+DaemonId reporterOf(const std::string &rule, const std::vector<DaemonId> &members)
+{
+    return *std::min_element(members.begin(), members.end(),
+                             [&rule](const DaemonId &a, const DaemonId &b) {
+                                 return std::pair(rendezvousHash(rule, a), a.value)
+                                     < std::pair(rendezvousHash(rule, b), b.value);
+                             });
+}
+
+AlertEvaluation evaluateAlerts(std::span<const AlertRule> rules,
+                               const std::vector<MetricSample> &samples,
+                               const AlertReporter &reporter, TimePoint now, AlertState previous)
+{
+    AlertEvaluation out;
+    out.state = std::move(previous);
+    std::set<std::string> ruleNames;
+    for (const AlertRule &rule : rules) {
+        ruleNames.insert(rule.name);
+    }
+    std::erase_if(out.state.series, [&](const auto &entry) {
+        const bool removed = !ruleNames.contains(entry.first.first);
+        if (removed && entry.second.reported) {
+            MetricLabels labels = entry.first.second;
+            out.resolved.push_back(
+                {entry.first.first, AlertSeverity::Info, std::move(labels), entry.second.value});
+        }
+        return removed;
+    });
+    recordHistory(out.state, rules, samples, now);
+    out.state.evaluatedAt = now;
+    for (const AlertRule &rule : rules) {
+        RuleEvaluator evaluator(rule, reporter, out);
+        const RuleValues values = valuesOf(rule, samples, out.state, now);
+        for (const auto &[labels, value] : values) {
+            evaluator.present(labels, value, now);
+        }
+        bool known = false;
+        for (auto it = out.state.series.lower_bound({rule.name, {}});
+             it != out.state.series.end() && it->first.first == rule.name; ++it) {
+            known = true;
+            if (!values.contains(it->first.second)) {
+                evaluator.absent(it->first.second, it->second);
+            }
+        }
+        if (!known) {
+            out.rulesWithoutSeries.push_back(rule.name);
+        }
+    }
+    return out;
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/alerts/evaluation_test.cpp
@@ -0,0 +1,232 @@
+#include "alerts/evaluation.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+using std::chrono::seconds;
+
+namespace {
+
+const DaemonId self{"d1"};
+const AlertReporter alone{.self = self, .liveMembers = {self}};
+
+AlertRule ruleOf(std::string metric, Comparison comparison, double threshold)
+{
+    return {.name = "r",
+            .metric = std::move(metric),
+            .comparison = comparison,
+            .threshold = threshold};
+}
+
+/// Runs one rule over time, one second a step.
+struct Run
+{
+    explicit Run(AlertRule alertRule)
+        : rules{std::move(alertRule)}
+    {
+    }
+
+    const AlertEvaluation &step(const std::vector<MetricSample> &samples,
+                                const AlertReporter &reporter = alone)
+    {
+        now += seconds(1);
+        last = evaluateAlerts(rules, samples, reporter, now, std::move(last.state));
+        return last;
+    }
+
+    std::vector<AlertRule> rules;
+    TimePoint now{};
+    AlertEvaluation last;
+};
+
+std::vector<MetricSample> oneSample(const std::string &name, double value,
+                                    const MetricLabels &labels = {})
+{
+    return {{name, labels, value}};
+}
+
+} // namespace
+
+// Guards against a comparison that never fires or fires at the wrong side of the threshold.
+TEST_CASE("each comparison fires exactly where it holds")
+{
+    struct Expectation
+    {
+        Comparison comparison;
+        bool below;
+        bool equal;
+        bool above;
+    };
+    for (const auto &e : {Expectation{Comparison::Greater, false, false, true},
+                          Expectation{Comparison::GreaterOrEqual, false, true, true},
+                          Expectation{Comparison::Less, true, false, false},
+                          Expectation{Comparison::LessOrEqual, true, true, false},
+                          Expectation{Comparison::Equal, false, true, false},
+                          Expectation{Comparison::NotEqual, true, false, true}}) {
+        CAPTURE(comparisonText(e.comparison));
+        const AlertRule rule = ruleOf("queue_length", e.comparison, 5);
+        CHECK(Run(rule).step(oneSample("queue_length", 4)).fired.size() == (e.below ? 1 : 0));
+        CHECK(Run(rule).step(oneSample("queue_length", 5)).fired.size() == (e.equal ? 1 : 0));
+        CHECK(Run(rule).step(oneSample("queue_length", 6)).fired.size() == (e.above ? 1 : 0));
+    }
+}
+
+// Guards against a short peak that fires, and a long one that does not.
+TEST_CASE("the condition has to hold for the whole duration")
+{
+    AlertRule rule = ruleOf("queue_length", Comparison::Greater, 5);
+    rule.holdFor = seconds(2);
+    Run run(rule);
+    CHECK(run.step(oneSample("queue_length", 9)).fired.empty());
+    CHECK(run.step(oneSample("queue_length", 9)).fired.empty());
+    CHECK(run.step(oneSample("queue_length", 1)).fired.empty());
+    CHECK(run.step(oneSample("queue_length", 9)).fired.empty());
+    CHECK(run.step(oneSample("queue_length", 9)).fired.empty());
+    CHECK(run.step(oneSample("queue_length", 9)).fired.size() == 1);
+    CHECK(run.step(oneSample("queue_length", 9)).fired.empty());
+    CHECK(run.last.active.size() == 1);
+    CHECK(run.step(oneSample("queue_length", 1)).resolved.size() == 1);
+    CHECK(run.last.active.empty());
+    CHECK(run.step(oneSample("queue_length", 1)).resolved.empty());
+}
+
+// Guards against an alert that ends because its metric is no longer exported.
+TEST_CASE("a vanished series is reported once and keeps a firing alert")
+{
+    Run run(ruleOf("queue_length", Comparison::Greater, 5));
+    run.step(oneSample("queue_length", 9));
+    CHECK(run.step({}).missing.size() == 1);
+    CHECK(run.last.resolved.empty());
+    CHECK(run.last.active.size() == 1);
+    CHECK(run.step({}).missing.empty());
+    CHECK(run.step(oneSample("queue_length", 9)).fired.empty());
+    CHECK(run.step(oneSample("queue_length", 1)).resolved.size() == 1);
+    CHECK(run.step({}).missing.size() == 1);
+    CHECK(run.last.rulesWithoutSeries.empty());
+    Run never(ruleOf("queue_length", Comparison::Greater, 5));
+    CHECK(never.step({}).rulesWithoutSeries == std::vector<std::string>{"r"});
+}
+
+TEST_CASE("a counter rate fires and survives a counter reset")
+{
+    AlertRule rule = ruleOf("requests_refused_total", Comparison::Greater, 5);
+    rule.over = seconds(10);
+    Run run(rule);
+    CHECK(run.step(oneSample("requests_refused_total", 1000)).fired.empty());
+    CHECK(run.step(oneSample("requests_refused_total", 1004)).fired.empty());
+    CHECK(run.step(oneSample("requests_refused_total", 1020)).fired.size() == 1);
+    CHECK(run.last.fired[0].value == 10);
+    // The counter starts again: 6 more events, not a negative rate.
+    CHECK(run.step(oneSample("requests_refused_total", 6)).active.size() == 1);
+    CHECK(run.last.active[0].value == doctest::Approx(26.0 / 3));
+    for (int n = 0; n < 20; ++n) {
+        run.step(oneSample("requests_refused_total", 6));
+    }
+    CHECK(run.last.active.empty());
+    CHECK(run.last.state.history.begin()->second.size() <= 12);
+}
+
+// Guards against the first events of a counter being missed: it appears only with them.
+TEST_CASE("a counter that appears is taken to have been zero")
+{
+    AlertRule rule = ruleOf("task_evictions_total", Comparison::Greater, 0);
+    rule.over = seconds(10);
+    Run run(rule);
+    run.step({});
+    CHECK(run.step(oneSample("task_evictions_total", 1)).fired.size() == 1);
+}
+
+TEST_CASE("a quantile fires over the requests of its window")
+{
+    AlertRule rule = ruleOf("request_seconds", Comparison::Greater, 0.5);
+    rule.quantile = 0.9;
+    rule.over = seconds(10);
+    rule.labels = {{"class", "urgent"}};
+    Run run(rule);
+    const auto buckets = [](double fast, double all) {
+        return std::vector<MetricSample>{
+            {"request_seconds_bucket", {{"class", "urgent"}, {"le", "0.1"}}, fast},
+            {"request_seconds_bucket", {{"class", "urgent"}, {"le", "1"}}, all},
+            {"request_seconds_bucket", {{"class", "urgent"}, {"le", "inf"}}, all},
+            {"request_seconds_bucket", {{"class", "batch"}, {"le", "inf"}}, 1e6}};
+    };
+    CHECK(run.step(buckets(1000, 1000)).fired.empty());
+    CHECK(run.step(buckets(1095, 1100)).fired.empty());
+    REQUIRE(run.step(buckets(1095, 1150)).fired.size() == 1);
+    CHECK(run.last.fired[0].value == 1);
+    CHECK(run.last.fired[0].labels == MetricLabels{{"class", "urgent"}, {"daemon", "d1"}});
+}
+
+TEST_CASE("labels select series and each series is its own alert")
+{
+    AlertRule rule = ruleOf("queue_length", Comparison::Greater, 5);
+    rule.labels = {{"class", "urgent"}};
+    Run run(rule);
+    const auto &result = run.step({{"queue_length", {{"class", "urgent"}, {"shard", "a"}}, 9},
+                                   {"queue_length", {{"class", "urgent"}, {"shard", "b"}}, 9},
+                                   {"queue_length", {{"class", "batch"}, {"shard", "a"}}, 9}});
+    CHECK(result.fired.size() == 2);
+    CHECK(result.fired[0].labels
+          == MetricLabels{{"class", "urgent"}, {"daemon", "d1"}, {"shard", "a"}});
+}
+
+// Guards against one fault of a failure domain giving a warning per daemon, or none.
+TEST_CASE("one member reports a fault that all members see")
+{
+    const std::vector<DaemonId> members{{"d1"}, {"d2"}, {"d3"}};
+    const DaemonId chosen = reporterOf("r", members);
+    int warnings = 0;
+    for (const DaemonId &member : members) {
+        Run run(ruleOf("platform_reachable", Comparison::Equal, 0));
+        run.step(oneSample("platform_reachable", 0), {.self = member, .liveMembers = members});
+        CHECK(run.last.fired.size() == (member == chosen ? 1 : 0));
+        CHECK(run.last.active.size() == 1);
+        warnings += static_cast<int>(run.last.fired.size());
+        if (!run.last.fired.empty()) {
+            CHECK(run.last.fired[0].labels.empty());
+        }
+    }
+    CHECK(warnings == 1);
+    // Each daemon reports its own metrics.
+    for (const DaemonId &member : members) {
+        Run run(ruleOf("settings_age_seconds", Comparison::Greater, 60));
+        run.step(oneSample("settings_age_seconds", 61), {.self = member, .liveMembers = members});
+        REQUIRE(run.last.fired.size() == 1);
+        CHECK(run.last.fired[0].labels == MetricLabels{{"daemon", member.value}});
+    }
+}
+
+// Guards against a warning that is lost with the daemon that should have given it.
+TEST_CASE("the next member reports when the reporter is lost")
+{
+    const std::vector<DaemonId> members{{"d1"}, {"d2"}};
+    const DaemonId chosen = reporterOf("r", members);
+    const DaemonId other = chosen == members[0] ? members[1] : members[0];
+    Run run(ruleOf("platform_reachable", Comparison::Equal, 0));
+    const auto sample = oneSample("platform_reachable", 0);
+    CHECK(run.step(sample, {.self = other, .liveMembers = members}).fired.empty());
+    CHECK(run.step(sample, {.self = other, .liveMembers = {other}}).fired.size() == 1);
+    CHECK(run.step(sample, {.self = other, .liveMembers = {other}}).fired.empty());
+}
+
+// Guards against all rules being reported by the same daemon.
+TEST_CASE("different rules have different reporters")
+{
+    const std::vector<DaemonId> members{{"entry-1"}, {"entry-2"}, {"entry-3"}};
+    std::map<DaemonId, int> rules;
+    for (int n = 0; n < 300; ++n) {
+        ++rules[reporterOf("rule-" + std::to_string(n), members)];
+    }
+    for (const DaemonId &member : members) {
+        CHECK(rules[member] > 60);
+    }
+}
+
+TEST_CASE("a removed rule resolves its alert and leaves no state")
+{
+    Run run(ruleOf("queue_length", Comparison::Greater, 5));
+    run.step(oneSample("queue_length", 9));
+    run.rules.clear();
+    CHECK(run.step(oneSample("queue_length", 9)).resolved.size() == 1);
+    CHECK(run.last.state.series.empty());
+}
--- /dev/null
+++ b/packages/alerts/import.cpp
@@ -0,0 +1,264 @@
+#include "alerts/import.h"
+
+#include "alerts/metriccatalogue.h"
+#include "settings/jsontext.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cmath>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <sstream>
+
+namespace acaciadeal {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array fieldNames = {
+    OldName{"alert", "name"},          OldName{"rule", "name"},
+    OldName{"series", "metric"},       OldName{"metric_name", "metric"},
+    OldName{"tags", "labels"},         OldName{"match", "labels"},
+    OldName{"op", "comparison"},       OldName{"operator", "comparison"},
+    OldName{"value", "threshold"},     OldName{"limit", "threshold"},
+    OldName{"duration", "for"},        OldName{"hold", "for"},
+    OldName{"level", "severity"},      OldName{"priority", "severity"},
+    OldName{"rate_over", "over"},      OldName{"window", "over"},
+    OldName{"percentile", "quantile"},
+};
+
+constexpr std::array comparisonNames = {
+    OldName{"gt", ">"},  OldName{"above", ">"}, OldName{"ge", ">="}, OldName{"gte", ">="},
+    OldName{"lt", "<"},  OldName{"below", "<"}, OldName{"le", "<="}, OldName{"lte", "<="},
+    OldName{"eq", "=="}, OldName{"=", "=="},    OldName{"ne", "!="}, OldName{"<>", "!="},
+};
+
+constexpr std::array severityNames = {
+    OldName{"page", "critical"}, OldName{"crit", "critical"}, OldName{"error", "critical"},
+    OldName{"warn", "warning"},  OldName{"ticket", "warning"}, OldName{"notice", "info"},
+};
+
+std::string translated(std::span<const OldName> names, const std::string &text)
+{
+    const auto it = std::find_if(names.begin(), names.end(),
+                                 [&text](const OldName &name) { return name.oldName == text; });
+    return it == names.end() ? text : std::string(it->newName);
+}
+
+/// Moves one line from the old form to the new one and lists what it changes.
+class LineTranslator
+{
+public:
+    explicit LineTranslator(ImportedLine &line)
+        : m_line(line)
+    {
+    }
+
+    Result<AlertRule> translate(const std::string &text)
+    {
+        std::string objectText = text;
+        if (objectText.ends_with(',')) {
+            objectText.pop_back();
+            m_line.changes.emplace_back("trailing comma dropped");
+        }
+        const auto normalized = normalizeJson(objectText);
+        if (!normalized) {
+            return tl::unexpected<Error>(normalized.error());
+        }
+        const json object = json::parse(*normalized);
+        if (!object.is_object()) {
+            return failure(ResultCode::MalformedRule, "expected an object");
+        }
+        if (auto renamed = renameFields(object); !renamed) {
+            return tl::unexpected<Error>(renamed.error());
+        }
+        translateWord("comparison", comparisonNames);
+        translateWord("severity", severityNames);
+        translateName();
+        translateDuration("for");
+        translateDuration("over");
+        translateQuantile();
+        if (auto metric = translateMetric(); !metric) {
+            return tl::unexpected<Error>(metric.error());
+        }
+        return parseAlertRule(m_fields.dump());
+    }
+
+private:
+    Result<void> renameFields(const json &object)
+    {
+        for (const auto &[field, value] : object.items()) {
+            const std::string newName = translated(fieldNames, field);
+            if (m_fields.contains(newName)) {
+                return failure(ResultCode::MalformedRule,
+                               "two fields mean \"" + newName + "\"", field);
+            }
+            if (newName != field) {
+                m_line.changes.push_back("field " + field + " -> " + newName);
+            }
+            m_fields[newName] = value;
+        }
+        return {};
+    }
+
+    void replace(const std::string &field, const json &value, const std::string &note = {})
+    {
+        m_line.changes.push_back(field + " " + m_fields[field].dump() + " -> " + value.dump()
+                                 + note);
+        m_fields[field] = value;
+    }
+
+    bool hasText(const std::string &field) const
+    {
+        return m_fields.contains(field) && m_fields[field].is_string();
+    }
+
+    void translateWord(const std::string &field, std::span<const OldName> names)
+    {
+        if (!hasText(field)) {
+            return;
+        }
+        const auto word = m_fields[field].get<std::string>();
+        if (auto newWord = translated(names, word); newWord != word) {
+            replace(field, newWord);
+        }
+    }
+
+    /// A rule name is a segment of a settings path.
+    void translateName()
+    {
+        if (!hasText("name")) {
+            return;
+        }
+        const auto name = m_fields["name"].get<std::string>();
+        std::string segment = name;
+        for (char &c : segment) {
+            const bool allowed =
+                std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+            c = allowed ? c : '-';
+        }
+        if (segment != name) {
+            replace("name", segment);
+        }
+    }
+
+    /// Old durations may be numbers of seconds.
+    void translateDuration(const std::string &field)
+    {
+        if (!m_fields.contains(field) || !m_fields[field].is_number()) {
+            return;
+        }
+        const auto milliCount = m_fields[field].get<double>() * 1000;
+        // Beyond this bound the conversion to an integer would overflow; the parser refuses it.
+        constexpr double bound = 1e15;
+        if (milliCount >= 0 && milliCount < bound) {
+            replace(field, durationText(milliseconds(std::llround(milliCount))));
+        }
+    }
+
+    /// Old percentiles count to 100.
+    void translateQuantile()
+    {
+        if (m_fields.contains("quantile") && m_fields["quantile"].is_number()
+            && m_fields["quantile"].get<double>() >= 1) {
+            replace("quantile", m_fields["quantile"].get<double>() / 100);
+        }
+    }
+
+    Result<void> translateMetric()
+    {
+        if (!hasText("metric")) {
+            return {};
+        }
+        const auto name = m_fields["metric"].get<std::string>();
+        if (findMetric(name) != nullptr) {
+            return {};
+        }
+        const MetricAlias *alias = findMetricAlias(name);
+        if (alias == nullptr) {
+            return failure(ResultCode::UnknownMetric,
+                           "\"" + name + "\" is neither an exported metric nor an old name of one",
+                           "metric");
+        }
+        replace("metric", std::string(alias->newName));
+        if (alias->factor != 1 && m_fields.contains("threshold")
+            && m_fields["threshold"].is_number()) {
+            replace("threshold", m_fields["threshold"].get<double>() * alias->factor,
+                    " (other unit)");
+        }
+        return {};
+    }
+
+    ImportedLine &m_line;
+    json m_fields = json::object();
+};
+
+} // namespace
+
+std::vector<ImportedLine> importAlertRules(const std::string &text)
+{
+    std::vector<ImportedLine> result;
+    std::map<std::string, std::size_t> lineByName;
+    std::istringstream in(text);
+    for (std::string raw; std::getline(in, raw);) {
+        ImportedLine &line = result.emplace_back();
+        line.number = result.size();
+        const auto begin = raw.find_first_not_of(" \t\r");
+        if (begin == std::string::npos || raw.compare(begin, 2, "//") == 0) {
+            continue;
+        }
+        const auto end = raw.find_last_not_of(" \t\r");
+        auto rule = LineTranslator(line).translate(raw.substr(begin, end - begin + 1));
+        if (!rule) {
+            line.outcome = ImportOutcome::Refused;
+            line.error = rule.error();
+            continue;
+        }
+        const auto [earlier, isNew] = lineByName.emplace(rule->name, line.number);
+        if (!isNew) {
+            line.outcome = ImportOutcome::Refused;
+            line.error = {ResultCode::MalformedRule,
+                          "line " + std::to_string(earlier->second) + " has the name \""
+                              + rule->name + "\" too",
+                          "name"};
+            continue;
+        }
+        line.outcome = line.changes.empty() ? ImportOutcome::InForce : ImportOutcome::Changed;
+        line.rule = std::move(*rule);
+    }
+    return result;
+}
+
+std::string_view importOutcomeName(ImportOutcome outcome)
+{
+    switch (outcome) {
+    case ImportOutcome::InForce:
+        return "in force";
+    case ImportOutcome::Changed:
+        return "changed";
+    case ImportOutcome::Refused:
+        return "refused";
+    case ImportOutcome::NoRule:
+        return "no rule";
+    }
+    return "unknown";
+}
+
+std::vector<OldName> oldFieldNames()
+{
+    return {fieldNames.begin(), fieldNames.end()};
+}
+
+std::vector<OldName> oldComparisons()
+{
+    return {comparisonNames.begin(), comparisonNames.end()};
+}
+
+std::vector<OldName> oldSeverities()
+{
+    return {severityNames.begin(), severityNames.end()};
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/alerts/metriccatalogue.h
@@ -0,0 +1,67 @@
+#ifndef ACACIADEAL_ALERTS_METRICCATALOGUE_H
+#define ACACIADEAL_ALERTS_METRICCATALOGUE_H
+
+#include "metrics/metrics.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace acaciadeal {
+
+enum class MetricKind : std::uint8_t { Counter, Gauge, Histogram };
+
+/// Who sees a fault in a metric.
+enum class MetricScope : std::uint8_t {
+    /// The daemon that exports it: each daemon reports its own alerts, labelled by daemon.
+    Daemon,
+    /// All daemons of a failure domain alike: one of them reports.
+    FailureDomain,
+};
+
+/// One exported metric.
+struct MetricInfo
+{
+    std::string_view name;
+    MetricKind kind = MetricKind::Gauge;
+    MetricScope scope = MetricScope::Daemon;
+    /// Label names, separated by spaces.
+    std::string_view labels;
+    std::string_view meaning;
+};
+
+/// Metric name of the setup that acaciadeal replaces.
+struct MetricAlias
+{
+    std::string_view oldName;
+    std::string_view newName;
+    /// Factor from the old unit to the new one, for thresholds.
+    double factor = 1;
+};
+
+/// Returns all exported metrics in the order of docs/alerts.md. Thread-safe.
+std::span<const MetricInfo> metricCatalogue();
+/// Returns the old metric names in the order of docs/alerts.md. Thread-safe.
+std::span<const MetricAlias> metricAliases();
+
+/// Returns the metric that exports the series @p name, or nullptr. A histogram also exports
+/// name_count, name_sum and name_bucket. Thread-safe.
+const MetricInfo *findMetric(const std::string &name);
+/// Returns the alias of @p oldName, or nullptr. Thread-safe.
+const MetricAlias *findMetricAlias(const std::string &oldName);
+
+/// Returns whether @p label may be used in rules on the series @p name of @p metric. Thread-safe.
+bool hasLabel(const MetricInfo &metric, const std::string &name, const std::string &label);
+
+/// Returns one text per sample whose name or label the catalogue does not have; rules on them could
+/// not be written. Thread-safe.
+std::vector<std::string> uncataloguedSamples(const std::vector<MetricSample> &samples);
+
+std::string_view metricKindName(MetricKind kind);
+std::string_view metricScopeName(MetricScope scope);
+
+} // namespace acaciadeal
+
+#endif
