--- a/packages/daemon/alertservice.cpp
+++ b/packages/daemon/alertservice.cpp
@@ -35,7 +35,7 @@
 bool isAlertPath(const std::string &path)
 {
     return path.starts_with("/alerts/")
-        || (path.starts_with("/teams/") && path.find("/alerts/") != std::string::npos);
+           || (path.starts_with("/teams/") && path.find("/alerts/") != std::string::npos);
 }
 
 json toJson(const std::vector<AlertNotice> &notices)
@@ -60,11 +60,11 @@
 
 void AlertService::addRoutes()
 {
-    m_context.router.add(
-        {"GET", "/v1/alerts", [this](const HttpRequest &, HttpResponder respond) {
-             m_context.control.post(
-                 [this, respond = std::move(respond)] { respond(jsonResponse(report())); });
-         }});
+    m_context.router.add({"GET", "/v1/alerts", [this](const HttpRequest &, HttpResponder respond) {
+                              m_context.control.post([this, respond = std::move(respond)] {
+                                  respond(jsonResponse(report()));
+                              });
+                          }});
 }
 
 void AlertService::start()
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -188,7 +188,10 @@
                          }});
     alerts = std::make_unique<AlertService>(
         *context, AlertSources{.settings = [this] { return settingsService->current(); },
-                               .membersOfDomain = [this] { return membersOfDomain(); }});
+                               .membersOfDomain =
+                                   [this] {
+                                       return membersOfDomain();
+                                   }});
     addCommonRoutes();
     jobs->addRoutes();
     admin->addRoutes();
@@ -295,9 +298,8 @@
     std::erase_if(leavingByPeer, [&live](const auto &item) { return !live.contains(item.first); });
     std::vector<MemberInfo> sharing = members;
     if (!usesShare) {
-        std::erase_if(sharing, [this](const MemberInfo &member) {
-            return member.daemon == settings.daemon;
-        });
+        std::erase_if(
+            sharing, [this](const MemberInfo &member) { return member.daemon == settings.daemon; });
     }
     requests->setMembers(sharing);
 }
@@ -329,8 +331,8 @@
                [this, peer](Result<PeerMessage> answer) {
                    control.post([this, peer, answer = std::move(answer)] {
                        fetchingSettings = false;
-                       const auto *entries
-                           = answer ? std::get_if<SettingsEntries>(&*answer) : nullptr;
+                       const auto *entries =
+                           answer ? std::get_if<SettingsEntries>(&*answer) : nullptr;
                        if (entries == nullptr || entries->entries.empty()) {
                            return;
                        }
--- a/packages/daemon/shardrunner.cpp
+++ b/packages/daemon/shardrunner.cpp
@@ -423,8 +423,8 @@
                            .rack = record.rack,
                            .capacity = record.capacity,
                            .acceptsTasks = accepts};
-        // A host that shrank below its commitments takes no further tasks, and gets its new capacity
-        // once enough of them have ended.
+        // A host that shrank below its commitments takes no further tasks, and gets its new
+        // capacity once enough of them have ended.
         if (known != holder->state.hosts.end() && !check(holder->state, update)) {
             update.capacity = known->second.capacity;
             update.acceptsTasks = false;
--- a/packages/scheduling/workermessage.cpp
+++ b/packages/scheduling/workermessage.cpp
@@ -81,7 +81,7 @@
     value["milli_cores"] = start.size.milliCores;
     value["memory_mib"] = start.size.memoryMiB;
     value["accelerators"] = start.size.accelerators;
-    value["expected_run_time_ms"] = start.expectedRunTime.count();
+    value["expected_run_ms"] = start.expectedRunTime.count();
     value["payload"] = start.payload;
     value["checkpoint"] = start.checkpoint;
     return value;
@@ -94,7 +94,7 @@
             .size = {.milliCores = value.at("milli_cores").get<std::int64_t>(),
                      .memoryMiB = value.at("memory_mib").get<std::int64_t>(),
                      .accelerators = value.at("accelerators").get<std::int64_t>()},
-            .expectedRunTime = milliseconds(value.at("expected_run_time_ms").get<std::int64_t>()),
+            .expectedRunTime = milliseconds(value.at("expected_run_ms").get<std::int64_t>()),
             .payload = value.at("payload").get<std::string>(),
             .checkpoint = value.at("checkpoint").get<std::string>()};
 }
