Format the control services and satisfy clang-tidy

Cause: the control services had not been linted. Change: format, one reserve, no temporary strings in alert labels.

--- a/packages/daemon/alertservice.cpp
+++ b/packages/daemon/alertservice.cpp
@@ -17,7 +17,10 @@
 {
     std::string text;
     for (const auto &[name, value] : labels) {
-        text += (text.empty() ? "" : ",") + name + "=" + value;
+        text += text.empty() ? "" : ",";
+        text += name;
+        text += '=';
+        text += value;
     }
     return text;
 }
--- a/packages/membership/memberlist.cpp
+++ b/packages/membership/memberlist.cpp
@@ -54,13 +54,14 @@
 
 std::vector<MemberInfo> liveMembers(const MemberList &list, TimePoint now)
 {
-    std::map<DaemonId, MemberInfo> live {{list.self.daemon, list.self}};
+    std::map<DaemonId, MemberInfo> live{{list.self.daemon, list.self}};
     for (const auto &[id, entry] : list.others) {
         if (isLive(list, entry, now)) {
             live.emplace(id, entry.info);
         }
     }
     std::vector<MemberInfo> result;
+    result.reserve(live.size());
     for (auto &[id, info] : live) {
         result.push_back(std::move(info));
     }
@@ -72,8 +73,8 @@
     std::vector<MemberInfo> due;
     for (auto &[id, entry] : list.others) {
         const Duration period = isSameDomain(list, entry.info)
-            ? list.options.heartbeatInDomain
-            : list.options.heartbeatBetweenDomains;
+                                    ? list.options.heartbeatInDomain
+                                    : list.options.heartbeatBetweenDomains;
         if (!entry.contactedAt || now - *entry.contactedAt >= period) {
             entry.contactedAt = now;
             due.push_back(entry.info);
--- a/packages/membership/memberlist.h
+++ b/packages/membership/memberlist.h
@@ -44,8 +44,8 @@
 /// ignored. Returns whether the daemon was not live before.
 bool hear(MemberList &list, const MemberInfo &member, TimePoint now);
 
-/// Takes in a mention of @p member by a peer or by the platform. It is contacted, but counts as live
-/// only after it was heard.
+/// Takes in a mention of @p member by a peer or by the platform. It is contacted, but counts as
+/// live only after it was heard.
 void mention(MemberList &list, const MemberInfo &member, TimePoint now);
 
 /// Returns whether @p entry was heard recently enough.
--- a/packages/membership/memberlist_test.cpp
+++ b/packages/membership/memberlist_test.cpp
@@ -23,7 +23,7 @@
 TEST_CASE("a mention does not make a daemon live")
 {
     MemberList list = sampleList();
-    const TimePoint start {};
+    const TimePoint start{};
     mention(list, member("b", "lowell-yard"), start);
     CHECK(liveMembers(list, start).size() == 1);
     CHECK(hear(list, member("b", "lowell-yard"), start));
@@ -36,7 +36,7 @@
 TEST_CASE("a lower incarnation is ignored and a higher one replaces the entry")
 {
     MemberList list = sampleList();
-    const TimePoint start {};
+    const TimePoint start{};
     hear(list, member("b", "lowell-yard", 2), start);
     CHECK_FALSE(hear(list, member("b", "worcester-depot", 1), start));
     CHECK(list.others.at({"b"}).info.failureDomain.value == "lowell-yard");
@@ -48,7 +48,7 @@
 TEST_CASE("members of other failure domains may be silent for longer")
 {
     MemberList list = sampleList();
-    const TimePoint start {};
+    const TimePoint start{};
     hear(list, member("b", "lowell-yard"), start);
     hear(list, member("c", "worcester-depot"), start);
     const auto live = liveMembers(list, start + seconds(6));
@@ -59,7 +59,7 @@
 TEST_CASE("heartbeats are due by period, and silent daemons are forgotten")
 {
     MemberList list = sampleList();
-    const TimePoint start {};
+    const TimePoint start{};
     mention(list, member("b", "lowell-yard"), start);
     mention(list, member("c", "worcester-depot"), start);
     CHECK(dueHeartbeats(list, start).size() == 2);
--- a/packages/platform/definitecommit.cpp
+++ b/packages/platform/definitecommit.cpp
@@ -46,15 +46,14 @@
 
     void readWitness(const Error &checkFailed)
     {
-        platform.read({.keys = {witness}}, [self = shared_from_this(), checkFailed](
-                                               const Result<std::vector<Row>> &rows) {
+        platform.read({.keys = {witness}}, [self = shared_from_this(),
+                                            checkFailed](const Result<std::vector<Row>> &rows) {
             if (!rows) {
-                self->retry(rows.error(),
-                            [self, checkFailed] { self->readWitness(checkFailed); });
+                self->retry(rows.error(), [self, checkFailed] { self->readWitness(checkFailed); });
                 return;
             }
             if (!rows->empty() && rows->front().value == self->witnessValue()) {
-                self->callback(CommitVersions {{self->witness, rows->front().version}});
+                self->callback(CommitVersions{{self->witness, rows->front().version}});
                 return;
             }
             self->callback(tl::unexpected<Error>(checkFailed));
--- a/packages/platform/definitecommit.h
+++ b/packages/platform/definitecommit.h
@@ -11,12 +11,15 @@
 {
     Duration retryDelay = milliseconds(100);
     /// Asked before each further attempt; false gives up with WriteOutcomeUnknown.
-    std::function<bool()> keepTrying = [] { return true; };
+    std::function<bool()> keepTrying = [] {
+        return true;
+    };
 };
 
 /// Commits @p transaction and resolves a lost answer: the identical transaction is sent again until
-/// the outcome is definite. After a failed check, the row @p witness is read back; if it has exactly
-/// the value that this transaction puts, the transaction was committed by an earlier attempt.
+/// the outcome is definite. After a failed check, the row @p witness is read back; if it has
+/// exactly the value that this transaction puts, the transaction was committed by an earlier
+/// attempt.
 ///
 /// Preconditions: @p transaction puts @p witness with a value that no other transaction writes, and
 /// checks a row that it also writes, so that it can take effect only once.
--- a/tests/golden/golden_test.cpp
+++ b/tests/golden/golden_test.cpp
@@ -140,8 +140,8 @@
     claim(session, "entry-1");
     appendChanges(session, "entry-1", {job("watch", 1, TaskClass::Batch, R"({"run_ms":60000})")});
     run(session, "entry-1", 2, milliseconds(500));
-    const HostId cut = session.workers.at({"worker-1"}).records.empty() ? HostId{"worker-2"}
-                                                                         : HostId{"worker-1"};
+    const HostId cut =
+        session.workers.at({"worker-1"}).records.empty() ? HostId{"worker-2"} : HostId{"worker-1"};
     for (int n = 0; n < 20; ++n) {
         for (const auto &[host, orders] : takeOrders(session, "entry-1")) {
             deliver(session, "entry-1", host, orders,
--- a/tests/golden/session.cpp
+++ b/tests/golden/session.cpp
@@ -77,7 +77,7 @@
     std::string operator()(const TaskReleased &change) const
     {
         return "release " + text(change.task, change.incarnation) + " " + reasonName(change.reason)
-            + (change.checkpoint.empty() ? "" : " checkpoint " + change.checkpoint);
+               + (change.checkpoint.empty() ? "" : " checkpoint " + change.checkpoint);
     }
     std::string operator()(const TaskCancelled &change) const
     {
@@ -97,8 +97,9 @@
 {
     char hash[32];
     std::snprintf(hash, sizeof hash, "%016llx", static_cast<unsigned long long>(stableHash(bytes)));
-    std::string result = "entry " + std::to_string(entry.epoch) + "." +
-        std::to_string(entry.sequence) + " " + std::to_string(bytes.size()) + " bytes " + hash;
+    std::string result = "entry " + std::to_string(entry.epoch) + "."
+                         + std::to_string(entry.sequence) + " " + std::to_string(bytes.size())
+                         + " bytes " + hash;
     for (const Change &change : entry.changes) {
         result += "\n           " + std::visit(ChangeText{}, change);
     }
@@ -139,10 +140,9 @@
                          .transactionId = daemon + "-" + std::to_string(++session.transactions),
                          .changes = std::move(changes)};
     const std::string bytes = encodeLogEntry(entry);
-    Transaction transaction{
-        .checks = {{logKey(session.shard, entry.sequence), 0},
-                   {ownerKey(session.shard), session.ownerVersions.at(daemon)}},
-        .puts = {{logKey(session.shard, entry.sequence), bytes}}};
+    Transaction transaction{.checks = {{logKey(session.shard, entry.sequence), 0},
+                                       {ownerKey(session.shard), session.ownerVersions.at(daemon)}},
+                            .puts = {{logKey(session.shard, entry.sequence), bytes}}};
     if (proposal.containsStart) {
         const std::string key = domainKey({session.shard.value});
         // The version that the holder has read; see readDomain().
@@ -151,7 +151,8 @@
     write(session, daemon + " appends " + describe(entry, bytes));
     const auto result = commitWithFault(session, daemon, transaction, fault);
     if (!result) {
-        write(session, daemon + " append refused: " + std::string(resultCodeName(result.error().code))
+        write(session, daemon
+                           + " append refused: " + std::string(resultCodeName(result.error().code))
                            + " " + result.error().where);
         return false;
     }
@@ -189,11 +190,13 @@
 void claim(Session &session, const std::string &daemon)
 {
     const auto rows = read(session.table, {.keys = {ownerKey(session.shard)}});
-    const OwnerRow previous = rows.empty() ? OwnerRow{} : decodeOwnerRow(rows.front().value).value();
+    const OwnerRow previous =
+        rows.empty() ? OwnerRow{} : decodeOwnerRow(rows.front().value).value();
     const OwnerRow row{.epoch = previous.epoch + 1, .holder = {daemon}, .claimId = daemon};
-    const auto versions = commit(
-        session.table, {.checks = {{ownerKey(session.shard), rows.empty() ? 0 : rows.front().version}},
-                        .puts = {{ownerKey(session.shard), encode(row)}}});
+    const auto versions =
+        commit(session.table,
+               {.checks = {{ownerKey(session.shard), rows.empty() ? 0 : rows.front().version}},
+                .puts = {{ownerKey(session.shard), encode(row)}}});
     REQUIRE(versions);
     ShardState state;
     state.shard = session.shard;
@@ -208,8 +211,8 @@
     REQUIRE(policy);
     write(session, daemon + " claims epoch " + std::to_string(row.epoch) + " and reads "
                        + std::to_string(state.lastSequence) + " entries");
-    session.holders[daemon]
-        = makeHolder({.placement = *policy}, std::move(state), row.epoch, session.now);
+    session.holders[daemon] =
+        makeHolder({.placement = *policy}, std::move(state), row.epoch, session.now);
     if (row.epoch == 1) {
         std::vector<Change> hosts;
         for (const auto &[id, worker] : session.workers) {
@@ -259,8 +262,8 @@
     }
     const auto received = decodeOrders(sent);
     REQUIRE(received);
-    const std::string answer
-        = encodeReport(standins::onOrders(session.workers.at(host), *received, session.now));
+    const std::string answer =
+        encodeReport(standins::onOrders(session.workers.at(host), *received, session.now));
     write(session, daemon + " <- " + host.value + " " + answer);
     if (fault == LinkFault::LoseReport) {
         write(session, "report lost");
@@ -283,11 +286,10 @@
 {
     const std::string key = domainKey({session.shard.value});
     const DomainRow row{.in = in, .reason = "test", .changedBy = by};
-    const auto result = commit(session.table,
-                               {.checks = {{key, expectedVersion}}, .puts = {{key, encode(row)}}});
+    const auto result =
+        commit(session.table, {.checks = {{key, expectedVersion}}, .puts = {{key, encode(row)}}});
     write(session, by + " takes the failure domain " + (in ? "in" : "out") + ": "
-                       + (result ? "committed"
-                                 : std::string(resultCodeName(result.error().code))));
+                       + (result ? "committed" : std::string(resultCodeName(result.error().code))));
     return result.has_value();
 }
 
@@ -314,8 +316,9 @@
                   [](const auto *a, const auto *b) { return a->startedAt < b->startedAt; });
         for (std::size_t n = 0; n < records.size(); ++n) {
             const standins::RunRecord &record = *records[n];
-            session.transcript += text(task, record.run.incarnation) + " on " + record.host.value
-                + " from " + std::to_string(millisOf(record.startedAt)) + " to "
+            session.transcript +=
+                text(task, record.run.incarnation) + " on " + record.host.value + " from "
+                + std::to_string(millisOf(record.startedAt)) + " to "
                 + (record.endedAt ? std::to_string(millisOf(*record.endedAt)) : "-") + " "
                 + (record.outcome.empty() ? "running" : record.outcome)
                 + (record.resumedFrom.empty() ? "" : " resumed from " + record.resumedFrom) + "\n";
--- a/tests/golden/session.h
+++ b/tests/golden/session.h
@@ -44,8 +44,8 @@
 /// Appends changes from outside, such as a submitted job.
 void appendChanges(Session &session, const std::string &daemon, std::vector<Change> changes);
 
-/// Lets the holder propose, and appends the proposal if it has changes. A lost answer is resolved by
-/// sending the same transaction again. Returns whether the entry was committed.
+/// Lets the holder propose, and appends the proposal if it has changes. A lost answer is resolved
+/// by sending the same transaction again. Returns whether the entry was committed.
 bool decide(Session &session, const std::string &daemon, CommitFault fault = CommitFault::None);
 
 /// Returns the proposal of @p daemon without appending it.
