Add the settings service of the daemon

Nothing moved settings between the platform, the daemons and the operators. The service polls the head row, applies log rows in order, exchanges entries with peers and serves the settings routes. A write is one transaction on the head row; a lost answer is resolved by sending the same transaction again. settingsservice_test runs it on the in-memory platform with lost answers, dropped writes and outages.

--- /dev/null
+++ b/packages/daemon/settingsservice.cpp
@@ -0,0 +1,912 @@
+#include "daemon/settingsservice.h"
+
+#include "alerts/alertrule.h"
+#include "logging/log.h"
+#include "settings/jsontext.h"
+#include "settings/schema.h"
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace acaciadeal {
+namespace {
+
+using nlohmann::json;
+
+constexpr char headKey[] = "settings/head";
+constexpr char snapshotKey[] = "settings/snapshot";
+constexpr char logPrefix[] = "settings/log/";
+constexpr char settingsRoot[] = "/v1/settings";
+// 128 rows of at most 16 KB stay below the HTTP client's limit of 8 MB, in base64 too.
+constexpr std::size_t rowsPerRead = 128;
+constexpr std::size_t rememberedEntries = 1024;
+constexpr std::size_t rememberedBytes = 4 * 1024 * 1024;
+// Both stay below the frame limit of 1 MB.
+constexpr std::size_t fetchBytes = 512 * 1024;
+constexpr std::size_t peerSnapshotBytes = 900 * 1024;
+constexpr std::size_t maxWaitingWrites = 256;
+// Each lost race means that another writer succeeded; more in a row point to inconsistent rows.
+constexpr int maxLostRaces = 50;
+
+std::size_t sizeOf(const SettingsEntry &entry)
+{
+    return entry.path.size() + entry.value.size() + entry.requestId.value.size() + 64;
+}
+
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    std::uint64_t value = 0;
+    const char *const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string headerOf(const HttpRequest &request, const std::string &name)
+{
+    const auto it = request.headers.find(name);
+    return it == request.headers.end() ? std::string() : it->second;
+}
+
+json valueJson(const std::string &text)
+{
+    return text.empty() ? json() : json::parse(text, nullptr, false);
+}
+
+json errorJson(const Error &error)
+{
+    return {{"code", static_cast<int>(error.code)},
+            {"name", resultCodeName(error.code)},
+            {"message", error.message},
+            {"where", error.where}};
+}
+
+/// Checks what the schema leaves to other packages. Errors: those of parseAlertRule().
+Result<void> checkMeaning(const std::string &path, const std::string &value)
+{
+    const SettingSchema *schema = findSetting(path);
+    if (schema == nullptr || schema->type != SettingType::AlertRule || value.empty()) {
+        return {};
+    }
+    const auto rule = parseAlertRule(value);
+    if (!rule) {
+        return tl::unexpected<Error>(rule.error());
+    }
+    if (rule->name != path.substr(path.rfind('/') + 1)) {
+        return failure(ResultCode::MalformedRule,
+                       "the name of the rule differs from the last part of the path", path);
+    }
+    return {};
+}
+
+Result<PreparedWrite> prepareChecked(const SettingsTree &tree, const SettingsWrite &write)
+{
+    auto prepared = prepareWrite(tree, write);
+    if (prepared) {
+        if (auto checked = checkMeaning(prepared->entry.path, prepared->entry.value); !checked) {
+            return tl::unexpected<Error>(checked.error());
+        }
+    }
+    return prepared;
+}
+
+/// Returns whether a newer tree could lead to another answer.
+bool dependsOnVersion(ResultCode code)
+{
+    return code == ResultCode::VersionConflict || code == ResultCode::IncompatibleSettings;
+}
+
+Transaction transactionOf(const SettingsEntry &entry, std::uint64_t headRowVersion)
+{
+    const std::string key = settingsLogKey(entry.version);
+    return {.checks = {{headKey, headRowVersion}, {key, 0}},
+            .puts = {{headKey, std::to_string(entry.version)}, {key, encodeEntry(entry)}}};
+}
+
+Result<SettingsTree> decodePeerSnapshot(const SettingsEntry &entry)
+{
+    auto tree = decodeSnapshot(entry.value);
+    if (tree && tree->version != entry.version) {
+        return failure(ResultCode::CorruptSnapshot, "the snapshot has another version", "peer");
+    }
+    return tree;
+}
+
+/// Row of a known version, for a later conditional write.
+struct KnownRow
+{
+    std::uint64_t settingsVersion = 0;
+    std::uint64_t rowVersion = 0;
+};
+
+/// One write on its way. Used by the control thread only.
+struct PendingWrite
+{
+    SettingsWrite write;
+    HttpResponder respond;
+    SettingsEntry entry;
+    Transaction transaction;
+    bool answered = false;
+    /// Whether a commit was sent whose outcome is not known.
+    bool sent = false;
+    bool uncertain = false;
+    int lostRaces = 0;
+};
+
+} // namespace
+
+struct SettingsService::Impl : std::enable_shared_from_this<Impl>
+{
+    Impl(DaemonContext &daemonContext, SettingsServiceOptions serviceOptions)
+        : context(daemonContext)
+        , options(std::move(serviceOptions))
+        , published(std::make_shared<SettingsTree>())
+    {
+    }
+
+    using RefreshCallback = std::function<void(const Result<void> &)>;
+
+    // Reading.
+
+    /// Runs @p done after a read of the head that starts after this call.
+    void refresh(RefreshCallback done)
+    {
+        waiting.push_back(std::move(done));
+        if (!reading) {
+            startRead();
+        }
+    }
+
+    void startRead()
+    {
+        reading = true;
+        served = std::exchange(waiting, {});
+        readHead();
+    }
+
+    void finishRead(const Result<void> &result)
+    {
+        if (result) {
+            confirmedAt = std::chrono::steady_clock::now();
+        }
+        reading = false;
+        for (const RefreshCallback &done : std::exchange(served, {})) {
+            done(result);
+        }
+        if (!reading && !waiting.empty()) {
+            startRead();
+        }
+    }
+
+    void readHead()
+    {
+        context.platform.read(
+            {.keys = {headKey, snapshotKey}},
+            [self = shared_from_this()](const Result<std::vector<Row>> &rows) {
+                if (!rows) {
+                    self->finishRead(tl::unexpected<Error>(rows.error()));
+                    return;
+                }
+                self->onHead(*rows);
+            });
+    }
+
+    void onHead(const std::vector<Row> &rows)
+    {
+        KnownRow newHead;
+        KnownRow newSnapshot;
+        for (const Row &row : rows) {
+            const auto number = parseNumber(row.value);
+            if (!number) {
+                finishRead(failure(ResultCode::PlatformProtocol, "not a version", row.key));
+                return;
+            }
+            (row.key == headKey ? newHead : newSnapshot) = {*number, row.version};
+        }
+        if (newHead.settingsVersion < tree.version) {
+            logEvent(EventId::SettingsStale,
+                     {{"source", "platform"},
+                      {"received", std::to_string(newHead.settingsVersion)},
+                      {"in_force", std::to_string(tree.version)}});
+            finishRead(failure(ResultCode::PlatformUnavailable,
+                               "the platform returned an older settings version", headKey));
+            return;
+        }
+        snapshot = newSnapshot;
+        if (newHead.settingsVersion - tree.version > snapshotInterval
+            && newSnapshot.settingsVersion > tree.version) {
+            readSnapshot(newHead);
+            return;
+        }
+        readRows(newHead);
+    }
+
+    void readSnapshot(const KnownRow &newHead)
+    {
+        context.platform.getObject(
+            snapshotName(snapshot.settingsVersion),
+            [self = shared_from_this(), newHead](const Result<std::string> &content) {
+                // The rows of the log are complete, so a lost snapshot only costs more reads.
+                if (content) {
+                    auto decoded = decodeSnapshot(*content);
+                    if (decoded && decoded->version > self->tree.version) {
+                        self->adopt(std::move(*decoded));
+                    }
+                }
+                self->readRows(newHead);
+            });
+    }
+
+    void readRows(const KnownRow &newHead)
+    {
+        if (tree.version >= newHead.settingsVersion) {
+            // The tree may have moved past this head in the meantime; the head row is then unknown.
+            head = tree.version == newHead.settingsVersion ? std::optional(newHead) : std::nullopt;
+            finishRead({});
+            return;
+        }
+        context.platform.read(
+            {.prefix = logPrefix, .after = settingsLogKey(tree.version), .limit = rowsPerRead},
+            [self = shared_from_this(), newHead](const Result<std::vector<Row>> &rows) {
+                if (!rows) {
+                    self->finishRead(tl::unexpected<Error>(rows.error()));
+                    return;
+                }
+                self->onRows(newHead, *rows);
+            });
+    }
+
+    void onRows(const KnownRow &newHead, const std::vector<Row> &rows)
+    {
+        const std::uint64_t before = tree.version;
+        SettingsEntries learned;
+        for (const Row &row : rows) {
+            const auto entry = decodeEntry(row.value);
+            if (!entry || settingsLogKey(entry->version) != row.key) {
+                finishBatch(std::move(learned));
+                finishRead(failure(ResultCode::TornEntry, "a settings row is not valid", row.key));
+                return;
+            }
+            if (entry->version > newHead.settingsVersion) {
+                break;
+            }
+            const auto applied = apply(*entry);
+            if (!applied) {
+                finishBatch(std::move(learned));
+                finishRead(tl::unexpected<Error>(applied.error()));
+                return;
+            }
+            if (*applied == ApplyOutcome::Applied) {
+                learned.entries.push_back(*entry);
+            }
+        }
+        finishBatch(std::move(learned));
+        if (tree.version == before) {
+            finishRead(failure(ResultCode::MissingEntry, "a settings row is absent",
+                               settingsLogKey(tree.version + 1)));
+            return;
+        }
+        readRows(newHead);
+    }
+
+    // Moving forward.
+
+    Result<ApplyOutcome> apply(const SettingsEntry &entry)
+    {
+        auto applied = applyEntry(tree, entry);
+        if (applied && *applied == ApplyOutcome::Applied) {
+            remembered.push_back(entry);
+            rememberedSize += sizeOf(entry);
+            while (remembered.size() > rememberedEntries || rememberedSize > rememberedBytes) {
+                rememberedSize -= sizeOf(remembered.front());
+                remembered.pop_front();
+            }
+            logEvent(EventId::SettingsApplied,
+                     {{"version", std::to_string(entry.version)},
+                      {"path", entry.path},
+                      {"team", entry.team.value},
+                      {"request", entry.requestId.value}});
+        }
+        return applied;
+    }
+
+    /// Takes over a whole tree. Precondition: it is newer than the one in force.
+    void adopt(SettingsTree newer)
+    {
+        tree = std::move(newer);
+        remembered.clear();
+        rememberedSize = 0;
+        logEvent(EventId::SettingsApplied,
+                 {{"version", std::to_string(tree.version)}, {"source", "snapshot"}});
+        publish();
+    }
+
+    /// Publishes the tree after entries were applied, and passes them to the peers.
+    void finishBatch(SettingsEntries learned)
+    {
+        if (learned.entries.empty()) {
+            return;
+        }
+        publish();
+        if (options.pushToPeers) {
+            options.pushToPeers(std::move(learned));
+        }
+    }
+
+    void publish()
+    {
+        auto copy = std::make_shared<const SettingsTree>(tree);
+        {
+            const std::lock_guard lock(mutex);
+            published = copy;
+        }
+        context.metrics.set("settings_version", {}, static_cast<double>(tree.version));
+        for (const SettingsChangeCallback &callback : changeCallbacks) {
+            callback(copy);
+        }
+    }
+
+    Result<void> onPeerEntries(const SettingsEntries &entries)
+    {
+        bool changed = false;
+        Result<void> result;
+        for (const SettingsEntry &entry : entries.entries) {
+            if (entry.path.empty()) {
+                auto decoded = decodePeerSnapshot(entry);
+                if (!decoded) {
+                    result = tl::unexpected<Error>(decoded.error());
+                    break;
+                }
+                if (decoded->version > tree.version) {
+                    adopt(std::move(*decoded));
+                }
+                continue;
+            }
+            const auto applied = apply(entry);
+            if (!applied) {
+                result = tl::unexpected<Error>(applied.error());
+                break;
+            }
+            if (*applied == ApplyOutcome::Applied) {
+                changed = true;
+            } else {
+                noteOlder(entry);
+            }
+        }
+        if (changed) {
+            publish();
+        }
+        return result;
+    }
+
+    /// Daemons receive most entries several times. Only one that contradicts the entry in force is
+    /// worth a warning.
+    void noteOlder(const SettingsEntry &entry)
+    {
+        const auto it =
+            std::find_if(remembered.begin(), remembered.end(), [&entry](const SettingsEntry &own) {
+                return own.version == entry.version;
+            });
+        if (it != remembered.end() && *it != entry) {
+            logEvent(EventId::SettingsStale,
+                     {{"source", "peer"},
+                      {"received", std::to_string(entry.version)},
+                      {"in_force", std::to_string(tree.version)},
+                      {"path", entry.path}});
+        }
+    }
+
+    SettingsEntries onSettingsFetch(std::uint64_t afterVersion) const
+    {
+        SettingsEntries answer;
+        if (afterVersion >= tree.version) {
+            return answer;
+        }
+        if (remembered.empty() || remembered.front().version > afterVersion + 1) {
+            std::string text = encodeSnapshot(tree);
+            if (text.size() <= peerSnapshotBytes) {
+                answer.entries.push_back({.version = tree.version, .value = std::move(text)});
+            }
+            return answer;
+        }
+        std::size_t size = 0;
+        for (const SettingsEntry &entry : remembered) {
+            if (entry.version > afterVersion && size < fetchBytes) {
+                size += sizeOf(entry);
+                answer.entries.push_back(entry);
+            }
+        }
+        return answer;
+    }
+
+    // Snapshots in the object store.
+
+    static std::string snapshotName(std::uint64_t version)
+    {
+        return "settings-snapshot-" + std::to_string(version);
+    }
+
+    /// The writer of version 256 n stores it. If it could not, any daemon stores a later one.
+    void storeSnapshotIfDue(bool ownWrite)
+    {
+        const bool due = ownWrite && tree.version % snapshotInterval == 0;
+        const bool overdue = tree.version - std::min(tree.version, snapshot.settingsVersion)
+            >= 2 * snapshotInterval;
+        if (storingSnapshot || (!due && !overdue)) {
+            return;
+        }
+        storingSnapshot = true;
+        const std::uint64_t version = tree.version;
+        context.platform.putObject(
+            snapshotName(version), encodeSnapshot(tree),
+            [self = shared_from_this(), version](const Result<void> &stored) {
+                if (!stored) {
+                    self->storingSnapshot = false;
+                    return;
+                }
+                // Whatever the outcome, the row names a snapshot that exists.
+                self->context.platform.commit(
+                    {.checks = {{snapshotKey, self->snapshot.rowVersion}},
+                     .puts = {{snapshotKey, std::to_string(version)}}},
+                    [self](const Result<CommitVersions> &) { self->storingSnapshot = false; });
+            });
+    }
+
+    // Writing.
+
+    void addWrite(SettingsWrite write, HttpResponder respond)
+    {
+        auto pending = std::make_shared<PendingWrite>();
+        pending->write = std::move(write);
+        pending->respond = std::move(respond);
+        const auto prepared = prepareChecked(tree, pending->write);
+        if (!prepared && !dependsOnVersion(prepared.error().code)) {
+            deny(*pending, prepared.error());
+            return;
+        }
+        if (prepared && prepared->alreadyAccepted) {
+            accept(*pending, prepared->entry);
+            return;
+        }
+        if (writes.size() >= maxWaitingWrites) {
+            deny(*pending, {ResultCode::Overloaded, "too many settings changes wait", ""});
+            return;
+        }
+        writes.push_back(pending);
+        context.control.postAfter(options.answerLimit, [self = shared_from_this(), pending] {
+            self->onAnswerLimit(*pending);
+        });
+        if (writes.size() == 1) {
+            attempt(pending);
+        }
+    }
+
+    void onAnswerLimit(PendingWrite &pending)
+    {
+        if (pending.answered) {
+            return;
+        }
+        if (pending.sent) {
+            // Not a denial: the change may be in force.
+            answer(pending,
+                   errorResponse({ResultCode::OutcomeUnknown,
+                                  "the outcome of the change is not known yet; repeat the request "
+                                  "under the same id",
+                                  pending.write.path}));
+        } else {
+            deny(pending, {ResultCode::PlatformUnavailable,
+                           "an earlier change or the platform does not come to an end; this change "
+                           "was not made",
+                           pending.write.path});
+        }
+    }
+
+    void attempt(const std::shared_ptr<PendingWrite> &pending)
+    {
+        if (pending->answered && !pending->uncertain) {
+            finishWrite(pending);
+            return;
+        }
+        refresh([self = shared_from_this(), pending](const Result<void> &result) {
+            self->onRefreshed(pending, result);
+        });
+    }
+
+    void onRefreshed(const std::shared_ptr<PendingWrite> &pending, const Result<void> &result)
+    {
+        if (!result && pending->uncertain) {
+            // The rows tell whether an earlier sending took effect, so they have to be read.
+            later([pending](Impl &self) { self.attempt(pending); });
+            return;
+        }
+        if (!result) {
+            deny(*pending, {ResultCode::PlatformUnavailable, result.error().message,
+                            result.error().where});
+            finishWrite(pending);
+            return;
+        }
+        // A failed check ended the uncertainty, and the tree now contains every committed entry.
+        pending->uncertain = false;
+        pending->sent = false;
+        const auto prepared = prepareChecked(tree, pending->write);
+        if (!prepared) {
+            deny(*pending, prepared.error());
+            finishWrite(pending);
+            return;
+        }
+        if (prepared->alreadyAccepted) {
+            accept(*pending, prepared->entry);
+            finishWrite(pending);
+            return;
+        }
+        if (pending->answered) {
+            finishWrite(pending);
+            return;
+        }
+        if (!head) {
+            attempt(pending);
+            return;
+        }
+        pending->entry = prepared->entry;
+        pending->transaction = transactionOf(pending->entry, head->rowVersion);
+        send(pending);
+    }
+
+    void send(const std::shared_ptr<PendingWrite> &pending)
+    {
+        pending->sent = true;
+        context.platform.commit(
+            pending->transaction,
+            [self = shared_from_this(), pending](const Result<CommitVersions> &versions) {
+                self->onCommit(pending, versions);
+            });
+    }
+
+    void onCommit(const std::shared_ptr<PendingWrite> &pending,
+                  const Result<CommitVersions> &versions)
+    {
+        if (versions) {
+            onCommitted(*pending, *versions);
+            finishWrite(pending);
+            return;
+        }
+        const ResultCode code = versions.error().code;
+        if (code == ResultCode::CheckFailed) {
+            if (!pending->uncertain && ++pending->lostRaces > maxLostRaces) {
+                deny(*pending, {ResultCode::PlatformProtocol,
+                                "the settings rows of the platform contradict each other",
+                                versions.error().where});
+                finishWrite(pending);
+                return;
+            }
+            attempt(pending);
+            return;
+        }
+        if (code == ResultCode::PlatformUnavailable && !pending->uncertain) {
+            deny(*pending, versions.error());
+            finishWrite(pending);
+            return;
+        }
+        if (!pending->uncertain) {
+            logEvent(EventId::WriteOutcomeUnknown,
+                     {{"key", settingsLogKey(pending->entry.version)},
+                      {"request", pending->write.requestId.value}});
+        }
+        pending->uncertain = true;
+        later([pending](Impl &self) { self.send(pending); });
+    }
+
+    void onCommitted(PendingWrite &pending, const CommitVersions &versions)
+    {
+        const auto applied = apply(pending.entry);
+        if (applied && *applied == ApplyOutcome::Applied) {
+            head.reset();
+            if (const auto it = versions.find(headKey); it != versions.end()) {
+                head = KnownRow{tree.version, it->second};
+            }
+            finishBatch({.entries = {pending.entry}});
+            storeSnapshotIfDue(true);
+        }
+        accept(pending, pending.entry);
+    }
+
+    /// Ends the first waiting write and begins with the next one.
+    void finishWrite(const std::shared_ptr<PendingWrite> &pending)
+    {
+        if (!writes.empty() && writes.front() == pending) {
+            writes.pop_front();
+        }
+        if (!writes.empty()) {
+            // Posted, so that a row of refused writes does not deepen the stack.
+            context.control.post(
+                [self = shared_from_this(), next = writes.front()] { self->attempt(next); });
+        }
+    }
+
+    template<typename Step>
+    void later(Step step)
+    {
+        context.control.postAfter(options.resendPeriod,
+                                  [self = shared_from_this(), step] { step(*self); });
+    }
+
+    static void answer(PendingWrite &pending, HttpResponse response)
+    {
+        if (!std::exchange(pending.answered, true)) {
+            pending.respond(std::move(response));
+        }
+    }
+
+    static void accept(PendingWrite &pending, const SettingsEntry &entry)
+    {
+        answer(pending, jsonResponse(json{{"path", entry.path},
+                                          {"version", entry.version},
+                                          {"path_version", entry.pathVersion}}
+                                         .dump()));
+    }
+
+    static void deny(PendingWrite &pending, const Error &error)
+    {
+        if (!pending.answered) {
+            logDenied(pending.write, error);
+            answer(pending, errorResponse(error));
+        }
+    }
+
+    static void logDenied(const SettingsWrite &write, const Error &error)
+    {
+        logEvent(EventId::SettingsDenied,
+                 {{"path", write.path},
+                  {"team", write.team.value},
+                  {"request", write.requestId.value},
+                  {"code", std::to_string(static_cast<int>(error.code))},
+                  {"name", std::string(resultCodeName(error.code))},
+                  {"reason", error.message}});
+    }
+
+    // Routes.
+
+    void servePut(const HttpRequest &request, HttpResponder respond)
+    {
+        SettingsWrite write;
+        write.path = pathOf(request.target).substr(sizeof settingsRoot - 1);
+        write.value = request.body;
+        write.requestId = {headerOf(request, "x-request-id")};
+        constexpr std::string_view scheme = "Bearer ";
+        const std::string authorization = headerOf(request, "authorization");
+        const auto token = authorization.starts_with(scheme)
+            ? context.settings.tokens.find(authorization.substr(scheme.size()))
+            : context.settings.tokens.end();
+        std::optional<Error> error;
+        if (token == context.settings.tokens.end()) {
+            error = {ResultCode::PermissionDenied, "no known token is given", write.path};
+        } else {
+            write.team = token->second;
+            const auto expected = parseNumber(headerOf(request, "if-version"));
+            write.expectedPathVersion = expected.value_or(0);
+            if (!expected) {
+                error = {ResultCode::MalformedRequest,
+                         "the header if-version must hold the path version", "if-version"};
+            }
+        }
+        if (error) {
+            logDenied(write, *error);
+            respond(errorResponse(*error));
+            return;
+        }
+        context.control.post(
+            [self = shared_from_this(), write = std::move(write), respond = std::move(respond)] {
+                self->addWrite(write, respond);
+            });
+    }
+
+    HttpResponse serveGet(const std::string &target) const
+    {
+        const auto settings = current();
+        const std::string path = pathOf(target).substr(sizeof settingsRoot - 1);
+        if (path.empty() || path == "/") {
+            json values = json::object();
+            for (const auto &[name, value] : settings->values) {
+                values[name] = {{"value", valueJson(value.value)},
+                                {"path_version", value.pathVersion},
+                                {"version", value.version}};
+            }
+            return jsonResponse(
+                json{{"version", settings->version}, {"settings", std::move(values)}}.dump());
+        }
+        const auto value = valueInForce(*settings, path);
+        if (!value) {
+            return errorResponse(value.error());
+        }
+        const auto it = settings->values.find(path);
+        const bool set = it != settings->values.end();
+        return jsonResponse(json{{"path", path},
+                                 {"value", valueJson(*value)},
+                                 {"default", !set || it->second.value.empty()},
+                                 {"path_version", set ? it->second.pathVersion : 0},
+                                 {"version", set ? it->second.version : 0}}
+                                .dump());
+    }
+
+    HttpResponse serveValidate(const std::string &body) const
+    {
+        const auto normalized = normalizeJson(body);
+        if (!normalized) {
+            return errorResponse(normalized.error());
+        }
+        const json values = json::parse(*normalized);
+        if (!values.is_object()) {
+            return errorResponse(
+                {ResultCode::WrongType, "expected an object of path to value", "body"});
+        }
+        json errors = json::array();
+        SettingsTree changed = *current();
+        for (const auto &[path, value] : values.items()) {
+            auto checked = checkSetting(path, value.dump());
+            if (checked) {
+                if (auto meaning = checkMeaning(path, *checked); !meaning) {
+                    checked = tl::unexpected<Error>(meaning.error());
+                }
+            }
+            if (!checked) {
+                errors.push_back(errorJson(checked.error()));
+                errors.back()["path"] = path;
+            } else {
+                changed.values[path].value = *checked;
+            }
+        }
+        if (auto combined = checkCombinations(changed); !combined) {
+            errors.push_back(errorJson(combined.error()));
+            errors.back()["path"] = combined.error().where;
+        }
+        return jsonResponse(json{{"valid", errors.empty()}, {"errors", std::move(errors)}}.dump());
+    }
+
+    HttpResponse historyOf(const std::string &path) const
+    {
+        json changes = json::array();
+        for (const SettingsEntry &entry : remembered) {
+            if (path.empty() || entry.path == path) {
+                changes.push_back({{"version", entry.version},
+                                   {"path", entry.path},
+                                   {"path_version", entry.pathVersion},
+                                   {"value", valueJson(entry.value)},
+                                   {"team", entry.team.value},
+                                   {"request_id", entry.requestId.value}});
+            }
+        }
+        const std::uint64_t completeAfter =
+            remembered.empty() ? tree.version : remembered.front().version - 1;
+        return jsonResponse(json{{"version", tree.version},
+                                 {"complete_after", completeAfter},
+                                 {"changes", std::move(changes)}}
+                                .dump());
+    }
+
+    void addRoutes()
+    {
+        const auto self = weak_from_this();
+        const auto route = [this, self](std::string method, std::string prefix, auto serve) {
+            context.router.add({std::move(method), std::move(prefix),
+                                [self, serve](const HttpRequest &request, HttpResponder respond) {
+                                    if (const auto impl = self.lock()) {
+                                        serve(*impl, request, std::move(respond));
+                                    } else {
+                                        respond(errorResponse({ResultCode::ShuttingDown,
+                                                               "the daemon is shutting down", ""}));
+                                    }
+                                }});
+        };
+        route("GET", settingsRoot, [](Impl &impl, const HttpRequest &request, auto respond) {
+            respond(impl.serveGet(request.target));
+        });
+        route("PUT", "/v1/settings/", [](Impl &impl, const HttpRequest &request, auto respond) {
+            impl.servePut(request, std::move(respond));
+        });
+        route("POST", "/v1/settings/validate",
+              [](Impl &impl, const HttpRequest &request, auto respond) {
+                  respond(impl.serveValidate(request.body));
+              });
+        route("GET", "/v1/settings-history",
+              [](Impl &impl, const HttpRequest &request, auto respond) {
+                  impl.context.control.post(
+                      [self = impl.shared_from_this(), path = queryValue(request.target, "path"),
+                       respond = std::move(respond)] { respond(self->historyOf(path)); });
+              });
+    }
+
+    void poll()
+    {
+        // A slow platform must not collect one waiting read per second.
+        if (!reading) {
+            refresh([self = shared_from_this()](const Result<void> &result) {
+                if (result) {
+                    self->storeSnapshotIfDue(false);
+                }
+            });
+        }
+        const auto age = std::chrono::steady_clock::now() - confirmedAt;
+        context.metrics.set("settings_age_seconds", {},
+                            std::chrono::duration<double>(age).count());
+    }
+
+    std::shared_ptr<const SettingsTree> current() const
+    {
+        const std::lock_guard lock(mutex);
+        return published;
+    }
+
+    DaemonContext &context;
+    const SettingsServiceOptions options;
+
+    // Control thread only.
+    SettingsTree tree;
+    std::deque<SettingsEntry> remembered;
+    std::size_t rememberedSize = 0;
+    /// Head row at the version of the tree, if known.
+    std::optional<KnownRow> head;
+    KnownRow snapshot;
+    bool storingSnapshot = false;
+    bool reading = false;
+    std::vector<RefreshCallback> waiting;
+    std::vector<RefreshCallback> served;
+    /// The first one is being carried out.
+    std::deque<std::shared_ptr<PendingWrite>> writes;
+    std::vector<SettingsChangeCallback> changeCallbacks;
+    TimePoint confirmedAt = std::chrono::steady_clock::now();
+
+    mutable std::mutex mutex;
+    std::shared_ptr<const SettingsTree> published;
+};
+
+SettingsService::SettingsService(DaemonContext &context, SettingsServiceOptions options)
+    : m_impl(std::make_shared<Impl>(context, std::move(options)))
+{
+    m_impl->addRoutes();
+    const auto poll = [weak = std::weak_ptr<Impl>(m_impl)] {
+        if (const auto impl = weak.lock()) {
+            impl->poll();
+        }
+    };
+    context.control.post(poll);
+    context.control.postEvery(m_impl->options.pollPeriod, poll);
+}
+
+SettingsService::~SettingsService() = default;
+
+Result<void> SettingsService::onPeerEntries(const SettingsEntries &entries)
+{
+    return m_impl->onPeerEntries(entries);
+}
+
+SettingsEntries SettingsService::onSettingsFetch(std::uint64_t afterVersion) const
+{
+    return m_impl->onSettingsFetch(afterVersion);
+}
+
+std::shared_ptr<const SettingsTree> SettingsService::current() const
+{
+    return m_impl->current();
+}
+
+std::uint64_t SettingsService::version() const
+{
+    return m_impl->current()->version;
+}
+
+void SettingsService::onChange(SettingsChangeCallback callback)
+{
+    m_impl->context.control.post([impl = m_impl, callback = std::move(callback)] {
+        callback(impl->current());
+        impl->changeCallbacks.push_back(callback);
+    });
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/daemon/settingsservice_test.cpp
@@ -0,0 +1,422 @@
+#include "daemon/settingsservice.h"
+
+#include "kernel/pluginregistry.h"
+
+#include <algorithm>
+#include <atomic>
+#include <doctest/doctest.h>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+using namespace acaciadeal;
+using nlohmann::json;
+
+namespace {
+
+/// The in-memory platform with faults that a test switches on.
+struct FaultyPlatform
+{
+    explicit FaultyPlatform(EventLoop &eventLoop)
+        : loop(eventLoop)
+        , inner(PluginRegistry<PlatformPlugin>::instance().find("memory")->create(eventLoop, {}))
+    {
+    }
+
+    PlatformAdapter adapter()
+    {
+        PlatformAdapter result = inner;
+        result.commit = [this](const Transaction &transaction, CommitCallback callback) {
+            ++commits;
+            if (down) {
+                loop.post([callback] { callback(failure(ResultCode::PlatformUnavailable, "")); });
+            } else if (dropped.fetch_sub(1) > 0) {
+                loop.post([callback] { callback(failure(ResultCode::WriteOutcomeUnknown, "")); });
+            } else if (lost.fetch_sub(1) > 0) {
+                inner.commit(transaction, [callback](const Result<CommitVersions> &) {
+                    callback(failure(ResultCode::WriteOutcomeUnknown, ""));
+                });
+            } else {
+                inner.commit(transaction, std::move(callback));
+            }
+        };
+        result.read = [this](const RowQuery &query, ReadCallback callback) {
+            ++reads;
+            if (down) {
+                loop.post([callback] { callback(failure(ResultCode::PlatformUnavailable, "")); });
+            } else if (older) {
+                loop.post([callback] { callback(std::vector<Row>{}); });
+            } else {
+                inner.read(query, std::move(callback));
+            }
+        };
+        return result;
+    }
+
+    std::vector<Row> rows(const std::string &prefix)
+    {
+        std::promise<std::vector<Row>> result;
+        inner.read({.prefix = prefix},
+                   [&result](const Result<std::vector<Row>> &found) { result.set_value(*found); });
+        return result.get_future().get();
+    }
+
+    EventLoop &loop;
+    PlatformAdapter inner;
+    std::atomic<bool> down{false};
+    /// Reads return nothing, as from a copy without any settings.
+    std::atomic<bool> older{false};
+    /// Commits that take effect and whose answer is lost.
+    std::atomic<int> lost{0};
+    /// Commits that do not take effect and whose answer is lost.
+    std::atomic<int> dropped{0};
+    std::atomic<int> commits{0};
+    std::atomic<int> reads{0};
+};
+
+struct Daemon
+{
+    Daemon(EventLoop &loop, FaultyPlatform &platform, SettingsServiceOptions options)
+        : client(loop, {})
+        , peers(loop)
+        , metrics({})
+        , context{settings, loop, loop, platform.adapter(), client, client, peers, metrics, router}
+    {
+        settings.tokens = {{"root", {"system"}}, {"crew-token", {"crew"}}};
+        service = std::make_unique<SettingsService>(context, std::move(options));
+    }
+
+    std::future<HttpResponse> send(HttpRequest request)
+    {
+        auto answer = std::make_shared<std::promise<HttpResponse>>();
+        router.handle(std::move(request),
+                      [answer](HttpResponse response) { answer->set_value(std::move(response)); });
+        return answer->get_future();
+    }
+
+    std::future<HttpResponse> put(const std::string &path, std::string value,
+                                  const std::string &expected, const std::string &id,
+                                  const std::string &token = "root")
+    {
+        return send({.method = "PUT",
+                     .target = "/v1/settings" + path,
+                     .headers = {{"authorization", "Bearer " + token},
+                                 {"x-request-id", id},
+                                 {"if-version", expected}},
+                     .body = std::move(value)});
+    }
+
+    json get(const std::string &target)
+    {
+        return json::parse(send({.method = "GET", .target = target}).get().body);
+    }
+
+    DaemonSettings settings;
+    HttpClient client;
+    PeerClient peers;
+    Metrics metrics;
+    HttpRouter router;
+    DaemonContext context;
+    std::unique_ptr<SettingsService> service;
+};
+
+struct Fixture
+{
+    ~Fixture()
+    {
+        loop.stop();
+    }
+
+    Daemon &add(SettingsServiceOptions options = {})
+    {
+        options.pollPeriod = milliseconds(5);
+        options.resendPeriod = milliseconds(5);
+        daemons.push_back(std::make_unique<Daemon>(loop, platform, std::move(options)));
+        return *daemons.back();
+    }
+
+    /// Runs @p function on the control thread and returns its result.
+    template<typename Function>
+    auto onControl(Function function)
+    {
+        std::promise<decltype(function())> result;
+        loop.post([&] { result.set_value(function()); });
+        return result.get_future().get();
+    }
+
+    EventLoop loop{{.threads = 1}};
+    FaultyPlatform platform{loop};
+    std::vector<std::unique_ptr<Daemon>> daemons;
+};
+
+template<typename Condition>
+void waitUntil(Condition condition)
+{
+    while (!condition()) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+}
+
+int codeOf(const HttpResponse &response)
+{
+    return json::parse(response.body).value("code", 0);
+}
+
+const std::string drain = "/system/drain_rate";
+
+} // namespace
+
+// Guards against one operator overwriting the change of another unseen.
+TEST_CASE("of two writers of one path and version, one succeeds")
+{
+    Fixture fixture;
+    Daemon &a = fixture.add();
+    Daemon &b = fixture.add();
+    for (int round = 0; round < 20; ++round) {
+        const std::string expected = std::to_string(round);
+        auto first = a.put(drain, "30", expected, "a" + expected);
+        auto second = b.put(drain, "40", expected, "b" + expected);
+        const unsigned statusA = first.get().status;
+        const unsigned statusB = second.get().status;
+        CHECK(std::min(statusA, statusB) == 200);
+        CHECK(std::max(statusA, statusB) == 409);
+    }
+    waitUntil([&] { return a.service->version() == 20 && b.service->version() == 20; });
+    CHECK(*a.service->current() == *b.service->current());
+}
+
+// Guards against writers of different paths refusing each other.
+TEST_CASE("writers of neighbouring paths all succeed")
+{
+    Fixture fixture;
+    Daemon &a = fixture.add();
+    Daemon &b = fixture.add();
+    std::vector<std::future<HttpResponse>> answers;
+    constexpr int count = 20;
+    for (int n = 0; n < count; ++n) {
+        const std::string id = std::to_string(n);
+        answers.push_back(a.put("/teams/t" + id + "/weight", "2", "0", "a" + id));
+        answers.push_back(b.put("/teams/u" + id + "/weight", "3", "0", "b" + id));
+    }
+    for (auto &answer : answers) {
+        CHECK(answer.get().status == 200);
+    }
+    waitUntil([&] { return a.service->version() == 2 * count && b.service->version() == 2 * count; });
+    CHECK(*a.service->current() == *b.service->current());
+    CHECK(fixture.platform.rows("settings/log/").size() == 2 * count);
+}
+
+// Guards against a change that is made twice or reported as failed when an answer is lost.
+TEST_CASE("a lost answer is resolved by the same transaction")
+{
+    Fixture fixture;
+    Daemon &daemon = fixture.add();
+    fixture.platform.lost = 3;
+    CHECK(daemon.put(drain, "30", "0", "r1").get().status == 200);
+    fixture.platform.lost = 0;
+    fixture.platform.dropped = 3;
+    CHECK(daemon.put(drain, "40", "1", "r2").get().status == 200);
+    CHECK(fixture.platform.rows("settings/log/").size() == 2);
+    CHECK(daemon.get("/v1/settings" + drain)["value"] == 40);
+}
+
+// Guards against a writer whose write was lost taking over the version of another writer.
+TEST_CASE("a dropped write and another writer do not share a version")
+{
+    Fixture fixture;
+    Daemon &a = fixture.add();
+    Daemon &b = fixture.add();
+    fixture.platform.dropped = 1;
+    auto first = a.put(drain, "30", "0", "r1");
+    auto second = b.put("/system/refill_rate", "60", "0", "r2");
+    CHECK(first.get().status == 200);
+    CHECK(second.get().status == 200);
+    const auto rows = fixture.platform.rows("settings/log/");
+    REQUIRE(rows.size() == 2);
+    waitUntil([&] { return a.service->version() == 2 && b.service->version() == 2; });
+    CHECK(*a.service->current() == *b.service->current());
+}
+
+// Guards against a caller waiting without end, and against the change being lost afterwards.
+TEST_CASE("an outcome that stays unknown is reported as such and resolved later")
+{
+    Fixture fixture;
+    Daemon &daemon = fixture.add({.answerLimit = milliseconds(50)});
+    fixture.platform.dropped = 1'000'000;
+    CHECK(codeOf(daemon.put(drain, "30", "0", "r1").get())
+          == static_cast<int>(ResultCode::OutcomeUnknown));
+    CHECK(codeOf(daemon.put("/system/refill_rate", "60", "0", "r2").get())
+          == static_cast<int>(ResultCode::PlatformUnavailable));
+    fixture.platform.dropped = 0;
+    waitUntil([&] { return daemon.service->version() == 1; });
+    CHECK(daemon.put(drain, "30", "0", "r1").get().status == 200);
+    CHECK(fixture.platform.rows("settings/log/").size() == 1);
+}
+
+TEST_CASE("with the platform down writes are refused and reads served")
+{
+    Fixture fixture;
+    Daemon &daemon = fixture.add();
+    CHECK(daemon.put(drain, "30", "0", "r1").get().status == 200);
+    fixture.platform.down = true;
+    CHECK(codeOf(daemon.put(drain, "40", "1", "r2").get())
+          == static_cast<int>(ResultCode::PlatformUnavailable));
+    CHECK(daemon.get("/v1/settings" + drain)["value"] == 30);
+    fixture.platform.down = false;
+    CHECK(daemon.put(drain, "40", "1", "r2").get().status == 200);
+}
+
+// Guards against settings that go back because of an older answer or peer.
+TEST_CASE("the version never goes back")
+{
+    Fixture fixture;
+    Daemon &a = fixture.add();
+    for (int n = 0; n < 3; ++n) {
+        const std::string text = std::to_string(n);
+        REQUIRE(a.put(drain, std::to_string(30 + n), text, "r" + text).get().status == 200);
+    }
+    const auto entries =
+        fixture.onControl([&] { return a.service->onSettingsFetch(0); }).entries;
+    REQUIRE(entries.size() == 3);
+    CHECK(fixture.onControl([&] { return a.service->onPeerEntries({{entries[0]}}); }).has_value());
+    CHECK(a.service->version() == 3);
+    SettingsEntry forged = entries[1];
+    forged.value = "99";
+    CHECK(fixture.onControl([&] { return a.service->onPeerEntries({{forged}}); }).has_value());
+    fixture.platform.older = true;
+    const int reads = fixture.platform.reads;
+    waitUntil([&] { return fixture.platform.reads > reads + 3; });
+    CHECK(a.service->version() == 3);
+    CHECK(a.get("/v1/settings" + drain)["value"] == 32);
+    CHECK(codeOf(a.put(drain, "50", "3", "r9").get())
+          == static_cast<int>(ResultCode::PlatformUnavailable));
+}
+
+// Guards against a daemon without the platform staying at old settings, or skipping one.
+TEST_CASE("a daemon without the platform follows its peers")
+{
+    Fixture fixture;
+    std::vector<SettingsEntry> pushed;
+    Daemon &a = fixture.add({.pushToPeers = [&](const SettingsEntries &entries) {
+        pushed.insert(pushed.end(), entries.entries.begin(), entries.entries.end());
+    }});
+    for (int n = 0; n < 3; ++n) {
+        const std::string text = std::to_string(n);
+        REQUIRE(a.put(drain, std::to_string(30 + n), text, "r" + text).get().status == 200);
+    }
+    CHECK(fixture.onControl([&] { return pushed.size(); }) == 3);
+    fixture.platform.down = true;
+    Daemon &b = fixture.add();
+    CHECK(fixture.onControl([&] { return b.service->onPeerEntries({{pushed[2]}}); }).error().code
+          == ResultCode::MissingEntry);
+    CHECK(b.service->version() == 0);
+    CHECK(fixture
+              .onControl([&] {
+                  return b.service->onPeerEntries(a.service->onSettingsFetch(b.service->version()));
+              })
+              .has_value());
+    CHECK(*b.service->current() == *a.service->current());
+    CHECK(fixture.onControl([&] { return a.service->onSettingsFetch(3); }).entries.empty());
+}
+
+// Guards against a change by a caller who may not make it, or of a value that cannot be used.
+TEST_CASE("denials carry their code")
+{
+    Fixture fixture;
+    Daemon &daemon = fixture.add();
+    const auto code = [](ResultCode expected) { return static_cast<int>(expected); };
+    CHECK(codeOf(daemon.put(drain, "30", "0", "r", "guess").get())
+          == code(ResultCode::PermissionDenied));
+    CHECK(codeOf(daemon.put(drain, "30", "0", "r", "").get()) == code(ResultCode::PermissionDenied));
+    CHECK(codeOf(daemon.put(drain, "30", "0", "r", "crew-token").get())
+          == code(ResultCode::PermissionDenied));
+    CHECK(codeOf(daemon.put(drain, "30", "", "r").get()) == code(ResultCode::MalformedRequest));
+    CHECK(codeOf(daemon.put(drain, "30", "0", "").get()) == code(ResultCode::MalformedRequest));
+    CHECK(codeOf(daemon.put(drain, "0", "0", "r").get()) == code(ResultCode::OutOfRange));
+    CHECK(codeOf(daemon.put("/system/x", "0", "0", "r").get()) == code(ResultCode::UnknownSetting));
+    CHECK(codeOf(daemon
+                     .put("/alerts/r",
+                          R"({"name":"r","metric":"x","comparison":">","threshold":1,"severity":"info"})",
+                          "0", "r")
+                     .get())
+          == code(ResultCode::UnknownMetric));
+    CHECK(codeOf(daemon
+                     .put("/alerts/r",
+                          R"({"name":"s","metric":"members","comparison":">","threshold":1,"severity":"info"})",
+                          "0", "r")
+                     .get())
+          == code(ResultCode::MalformedRule));
+    CHECK(fixture.platform.rows("settings/").empty());
+    CHECK(daemon.put("/teams/crew/weight", "2", "0", "r", "crew-token").get().status == 200);
+}
+
+TEST_CASE("reading, validating and history")
+{
+    Fixture fixture;
+    Daemon &daemon = fixture.add();
+    REQUIRE(daemon.put(drain, "30", "0", "r1").get().status == 200);
+    REQUIRE(daemon.put("/system/refill_rate", "60", "0", "r2").get().status == 200);
+    const json tree = daemon.get("/v1/settings");
+    CHECK(tree["version"] == 2);
+    CHECK(tree["settings"][drain]
+          == json{{"value", 30}, {"path_version", 1}, {"version", 1}});
+    CHECK(daemon.get("/v1/settings/system/weights/evictions")["default"] == true);
+    const json history = daemon.get("/v1/settings-history?path=" + drain);
+    REQUIRE(history["changes"].size() == 1);
+    CHECK(history["changes"][0]["request_id"] == "r1");
+    CHECK(history["complete_after"] == 0);
+    const auto validate = [&daemon](std::string body) {
+        return json::parse(daemon
+                               .send({.method = "POST",
+                                      .target = "/v1/settings/validate",
+                                      .body = std::move(body)})
+                               .get()
+                               .body);
+    };
+    CHECK(validate(R"({"/system/drain_rate":5,"/system/leases/lease_ms":20000,
+                       "/system/leases/renew_period_ms":9000})")["valid"]
+          == true);
+    const json faults = validate(R"({"/system/drain_rate":0,"/system/x":1,
+                                     "/system/leases/renew_period_ms":9000})");
+    CHECK(faults["errors"].size() == 3);
+    CHECK(daemon.get("/v1/settings" + drain)["value"] == 30);
+}
+
+// Guards against a start that reads the whole history, and a snapshot that loses a change.
+TEST_CASE("a new daemon starts from a snapshot")
+{
+    Fixture fixture;
+    Daemon &a = fixture.add();
+    constexpr int count = 300;
+    for (int n = 0; n < count; ++n) {
+        const std::string text = std::to_string(n);
+        REQUIRE(a.put(drain, std::to_string(1 + n), text, "r" + text).get().status == 200);
+    }
+    waitUntil([&] { return !fixture.platform.rows("settings/snapshot").empty(); });
+    CHECK(fixture.platform.rows("settings/snapshot")[0].value == "256");
+    Daemon &b = fixture.add();
+    waitUntil([&] { return b.service->version() == count; });
+    CHECK(*b.service->current() == *a.service->current());
+    CHECK(b.get("/v1/settings-history")["complete_after"] == 256);
+    // What only the snapshot holds is passed on as a whole tree.
+    fixture.platform.down = true;
+    Daemon &c = fixture.add();
+    const auto fetched = fixture.onControl([&] { return b.service->onSettingsFetch(0); });
+    REQUIRE(fetched.entries.size() == 1);
+    CHECK(fetched.entries[0].path.empty());
+    CHECK(fixture.onControl([&] { return c.service->onPeerEntries(fetched); }).has_value());
+    CHECK(*c.service->current() == *a.service->current());
+}
+
+TEST_CASE("changes are announced with the tree in force")
+{
+    Fixture fixture;
+    Daemon &daemon = fixture.add();
+    std::atomic<std::uint64_t> announced{99};
+    daemon.service->onChange([&announced](const std::shared_ptr<const SettingsTree> &tree) {
+        announced = tree->version;
+    });
+    waitUntil([&] { return announced == 0; });
+    REQUIRE(daemon.put(drain, "30", "0", "r1").get().status == 200);
+    waitUntil([&] { return announced == 1; });
+}
--- a/packages/settings/settingstree.cpp
+++ b/packages/settings/settingstree.cpp
@@ -71,18 +71,7 @@
     }
     SettingsTree changed = tree;
     changed.values[entry.path].value = entry.value;
-    for (const OrderConstraint &constraint : constraints) {
-        const auto smaller = numberInForce(changed, std::string(constraint.smaller));
-        const auto larger = numberInForce(changed, std::string(constraint.larger));
-        if (smaller && larger && constraint.factor * *smaller > *larger) {
-            return failure(ResultCode::IncompatibleSettings,
-                           std::string(constraint.larger) + " must be at least "
-                               + json(constraint.factor).dump() + " x "
-                               + std::string(constraint.smaller),
-                           entry.path);
-        }
-    }
-    return {};
+    return checkCombinations(changed);
 }
 
 /// Runs @p decode on the parsed text and turns each JSON error into @p code.
@@ -172,6 +161,22 @@
     return PreparedWrite{std::move(entry), false};
 }
 
+Result<void> checkCombinations(const SettingsTree &tree)
+{
+    for (const OrderConstraint &constraint : constraints) {
+        const auto smaller = numberInForce(tree, std::string(constraint.smaller));
+        const auto larger = numberInForce(tree, std::string(constraint.larger));
+        if (smaller && larger && constraint.factor * *smaller > *larger) {
+            return failure(ResultCode::IncompatibleSettings,
+                           std::string(constraint.larger) + " must be at least "
+                               + json(constraint.factor).dump() + " x "
+                               + std::string(constraint.smaller),
+                           std::string(constraint.smaller));
+        }
+    }
+    return {};
+}
+
 bool mayWrite(const TeamId &team, const std::string &path)
 {
     if (team.value == systemTeam) {
--- a/packages/settings/settingstree.h
+++ b/packages/settings/settingstree.h
@@ -89,6 +89,10 @@
 /// IncompatibleSettings, MalformedRequest and those of checkSetting(). Thread-safe.
 Result<PreparedWrite> prepareWrite(const SettingsTree &tree, const SettingsWrite &write);
 
+/// Checks the values in force against the rules that concern several paths. Errors:
+/// IncompatibleSettings. Thread-safe.
+Result<void> checkCombinations(const SettingsTree &tree);
+
 /// Returns whether @p team may change @p path: the team "system" any path, another team only paths
 /// below its own /teams/<team>/. Thread-safe.
 bool mayWrite(const TeamId &team, const std::string &path);
