Add acaciadealctl and document the administration interface

Operators had no command line. acaciadealctl covers settings, failure domains, hosts, tasks, requests, jobs and alert rules; changes carry a request id and are repeated under it when an answer is lost. docs/admin-api.md fixes the routes that the daemon still has to serve. ctl_test runs the commands against prepared answers.

--- /dev/null
+++ b/packages/ctl/commands.cpp
@@ -0,0 +1,576 @@
+#include "ctl/commands.h"
+
+#include "alerts/import.h"
+#include "ctl/textform.h"
+#include "settings/jsontext.h"
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <sstream>
+#include <utility>
+
+namespace acaciadeal {
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned firstErrorStatus = 400;
+/// Sendings of a change whose answer was lost; all carry the same request id.
+constexpr int maxSendings = 3;
+
+Result<std::string> readText(const std::string &path)
+{
+    const std::ifstream in(path, std::ios::binary);
+    std::ostringstream text;
+    if (!in || !(text << in.rdbuf())) {
+        return failure(ResultCode::FileUnreadable, "the file cannot be read", path);
+    }
+    return text.str();
+}
+
+std::string encoded(const std::string &text, bool keepSlash = false)
+{
+    constexpr char digits[] = "0123456789ABCDEF";
+    std::string result;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || std::string_view("-_.~").find(c) != std::string_view::npos
+            || (keepSlash && c == '/')) {
+            result += c;
+        } else {
+            result += '%';
+            result += digits[byte >> 4];
+            result += digits[byte & 0xf];
+        }
+    }
+    return result;
+}
+
+ExitCode exitCodeOf(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::Ok:
+        return ExitCode::Success;
+    case ResultCode::UsageError:
+    case ResultCode::FileUnreadable:
+        return ExitCode::Usage;
+    case ResultCode::ConnectionFailed:
+    case ResultCode::TimedOut:
+    case ResultCode::IncompleteAnswer:
+        return ExitCode::Unreachable;
+    case ResultCode::OutcomeUnknown:
+    case ResultCode::WriteOutcomeUnknown:
+        return ExitCode::OutcomeUnknown;
+    default:
+        return ExitCode::Refused;
+    }
+}
+
+/// Returns the error that an answer carries. Answers without one get BackendFailed.
+Error errorOf(const HttpResponse &response)
+{
+    const json body = json::parse(response.body, nullptr, false);
+    if (body.is_object() && body.contains("code") && body["code"].is_number_unsigned()) {
+        const auto text = [&body](const char *key) {
+            return body.contains(key) && body[key].is_string() ? body[key].get<std::string>() : "";
+        };
+        return {static_cast<ResultCode>(body["code"].get<std::uint16_t>()), text("message"),
+                text("where")};
+    }
+    return {ResultCode::BackendFailed, "status " + std::to_string(response.status), ""};
+}
+
+class Command
+{
+public:
+    Command(const CommandLine &line, const CtlEnvironment &environment)
+        : m_line(line)
+        , m_environment(environment)
+    {
+    }
+
+    ExitCode run()
+    {
+        struct Verb
+        {
+            std::string_view group;
+            std::string_view name;
+            std::size_t minArguments;
+            std::size_t maxArguments;
+            ExitCode (Command::*function)();
+        };
+        static constexpr Verb verbs[] = {
+            {"settings", "get", 0, 1, &Command::settingsGet},
+            {"settings", "put", 2, 2, &Command::settingsPut},
+            {"settings", "diff", 1, 1, &Command::settingsDiff},
+            {"settings", "validate", 1, 1, &Command::settingsValidate},
+            {"settings", "history", 0, 1, &Command::settingsHistory},
+            {"domain", "show", 1, 1, &Command::domainShow},
+            {"domain", "out", 1, 1, &Command::domainChange},
+            {"domain", "in", 1, 1, &Command::domainChange},
+            {"host", "drain", 1, 1, &Command::hostAction},
+            {"host", "undrain", 1, 1, &Command::hostAction},
+            {"host", "confirm-off", 1, 1, &Command::hostAction},
+            {"tasks", "list", 0, 0, &Command::tasksList},
+            {"tasks", "explain", 1, 1, &Command::tasksExplain},
+            {"tasks", "cancel", 1, 1, &Command::tasksCancel},
+            {"tasks", "late", 0, 0, &Command::tasksLate},
+            {"request", "get", 1, 1, &Command::requestGet},
+            {"job", "submit", 1, 1, &Command::jobSubmit},
+            {"alerts", "check", 1, 1, &Command::alertsCheck},
+            {"alerts", "import", 1, 1, &Command::alertsImport},
+        };
+        const auto &words = m_line.words;
+        if (words.size() == 1 && words[0] == "status") {
+            return show({.target = "/v1/status"});
+        }
+        for (const Verb &verb : verbs) {
+            if (words.size() < 2 || words[0] != verb.group || words[1] != verb.name) {
+                continue;
+            }
+            const std::size_t count = words.size() - 2;
+            if (count < verb.minArguments || count > verb.maxArguments) {
+                return fail({ResultCode::UsageError, "wrong number of arguments",
+                             words[0] + " " + words[1]});
+            }
+            return (this->*verb.function)();
+        }
+        Error error{ResultCode::UsageError, "no such command; see --help", ""};
+        if (!words.empty()) {
+            error.where = words[0];
+        }
+        return fail(error);
+    }
+
+private:
+    const std::string &argument(std::size_t n) const
+    {
+        return m_line.words[n + 2];
+    }
+    bool hasArgument(std::size_t n) const
+    {
+        return m_line.words.size() > n + 2;
+    }
+
+    ExitCode fail(const Error &error) const
+    {
+        if (m_line.json) {
+            m_environment.err << json{{"code", static_cast<int>(error.code)},
+                                      {"name", resultCodeName(error.code)},
+                                      {"message", error.message},
+                                      {"where", error.where}}
+                                     .dump()
+                              << "\n";
+        } else {
+            m_environment.err << "acaciadealctl: error " << static_cast<int>(error.code) << " "
+                              << resultCodeName(error.code) << ": " << error.message;
+            if (!error.where.empty()) {
+                m_environment.err << " (" << error.where << ")";
+            }
+            m_environment.err << "\n";
+        }
+        return exitCodeOf(error.code);
+    }
+
+    void print(const std::string &jsonText) const
+    {
+        m_environment.out << (m_line.json ? jsonText + "\n" : textForm(jsonText));
+    }
+
+    Result<std::string> bodyOf(HttpRequest request) const
+    {
+        if (!m_line.token.empty()) {
+            request.headers["authorization"] = "Bearer " + m_line.token;
+        }
+        auto response = m_environment.call(request);
+        if (!response) {
+            return tl::unexpected<Error>(response.error());
+        }
+        if (response->status >= firstErrorStatus) {
+            return tl::unexpected<Error>(errorOf(*response));
+        }
+        return std::move(response->body);
+    }
+
+    /// Sends a change under one request id, again if its answer was lost.
+    Result<std::string> change(HttpRequest request) const
+    {
+        request.headers["x-request-id"] =
+            m_line.requestId.empty() ? m_environment.newRequestId() : m_line.requestId;
+        request.headers["content-type"] = "application/json";
+        auto body = bodyOf(request);
+        for (int n = 1; n < maxSendings && !body && mayRepeat(body.error().code); ++n) {
+            body = bodyOf(request);
+        }
+        if (!body && mayRepeat(body.error().code)) {
+            // A lost answer does not say that the change was not made.
+            return failure(ResultCode::OutcomeUnknown,
+                           "no answer to the change; repeat it with --request-id "
+                               + request.headers["x-request-id"],
+                           body.error().message);
+        }
+        return body;
+    }
+
+    static bool mayRepeat(ResultCode code)
+    {
+        return code == ResultCode::TimedOut || code == ResultCode::IncompleteAnswer;
+    }
+
+    ExitCode finish(const Result<std::string> &body) const
+    {
+        if (!body) {
+            return fail(body.error());
+        }
+        print(*body);
+        return ExitCode::Success;
+    }
+
+    ExitCode show(HttpRequest request) const
+    {
+        return finish(bodyOf(std::move(request)));
+    }
+
+    static std::string settingsTarget(const std::string &path)
+    {
+        return "/v1/settings" + encoded(path, true);
+    }
+
+    ExitCode settingsGet()
+    {
+        return show({.target = hasArgument(0) ? settingsTarget(argument(0)) : "/v1/settings"});
+    }
+
+    ExitCode settingsPut()
+    {
+        if (!m_line.ifVersion) {
+            return fail({ResultCode::UsageError,
+                         "give the path version that you have seen; 0 if the path was never set",
+                         "--if-version"});
+        }
+        std::string value = argument(1);
+        if (value.starts_with('@')) {
+            auto text = readText(value.substr(1));
+            if (!text) {
+                return fail(text.error());
+            }
+            value = std::move(*text);
+        }
+        return finish(putSetting(argument(0), std::move(value), *m_line.ifVersion));
+    }
+
+    Result<std::string> putSetting(const std::string &path, std::string value,
+                                   std::uint64_t expected) const
+    {
+        return change({.method = "PUT",
+                       .target = settingsTarget(path),
+                       .headers = {{"if-version", std::to_string(expected)}},
+                       .body = std::move(value)});
+    }
+
+    Result<json> readObject(const std::string &path) const
+    {
+        auto text = readText(path);
+        if (text) {
+            text = normalizeJson(*text);
+        }
+        if (!text) {
+            return tl::unexpected<Error>(text.error());
+        }
+        json object = json::parse(*text);
+        if (!object.is_object()) {
+            return failure(ResultCode::WrongType, "expected an object of path to value", path);
+        }
+        return object;
+    }
+
+    ExitCode settingsDiff()
+    {
+        const auto wanted = readObject(argument(0));
+        if (!wanted) {
+            return fail(wanted.error());
+        }
+        json differences = json::array();
+        for (const auto &[path, value] : wanted->items()) {
+            const auto body = bodyOf({.target = settingsTarget(path)});
+            if (!body) {
+                return fail(body.error());
+            }
+            const json answer = json::parse(*body, nullptr, false);
+            if (!answer.is_object() || !answer.contains("value")) {
+                return fail({ResultCode::BackendFailed, "the answer is not valid", path});
+            }
+            if (answer["value"] != value) {
+                differences.push_back({{"path", path},
+                                       {"in_force", answer["value"]},
+                                       {"file", value},
+                                       {"path_version", answer.value("path_version", 0)}});
+            }
+        }
+        print(json{{"differences", differences}}.dump());
+        return differences.empty() ? ExitCode::Success : ExitCode::FaultsFound;
+    }
+
+    ExitCode settingsValidate()
+    {
+        auto text = readText(argument(0));
+        if (!text) {
+            return fail(text.error());
+        }
+        const auto body = bodyOf(
+            {.method = "POST", .target = "/v1/settings/validate", .body = std::move(*text)});
+        if (!body) {
+            return fail(body.error());
+        }
+        print(*body);
+        const json answer = json::parse(*body, nullptr, false);
+        const bool valid = answer.is_object() && answer.value("valid", false);
+        return valid ? ExitCode::Success : ExitCode::FaultsFound;
+    }
+
+    ExitCode settingsHistory()
+    {
+        const std::string query = hasArgument(0) ? "?path=" + encoded(argument(0)) : "";
+        return show({.target = "/v1/settings-history" + query});
+    }
+
+    std::string domainTarget() const
+    {
+        return "/v1/domains/" + encoded(argument(0));
+    }
+
+    ExitCode domainShow()
+    {
+        return show({.target = domainTarget()});
+    }
+
+    Result<json> domainState() const
+    {
+        const auto body = bodyOf({.target = domainTarget()});
+        if (!body) {
+            return tl::unexpected<Error>(body.error());
+        }
+        json state = json::parse(*body, nullptr, false);
+        for (const char *field :
+             {"version", "tasks_left", "requests_in_progress", "daemons", "daemons_confirmed"}) {
+            if (!state.is_object() || !state.contains(field)
+                || !state[field].is_number_unsigned()) {
+                return failure(ResultCode::BackendFailed, "the answer has no such number", field);
+            }
+        }
+        return state;
+    }
+
+    ExitCode domainChange()
+    {
+        std::uint64_t expected = 0;
+        if (m_line.ifVersion) {
+            expected = *m_line.ifVersion;
+        } else {
+            const auto state = domainState();
+            if (!state) {
+                return fail(state.error());
+            }
+            expected = (*state)["version"].get<std::uint64_t>();
+        }
+        const json body = {{"state", m_line.words[1]},
+                           {"reason", m_line.reason},
+                           {"if_version", expected}};
+        const auto answer =
+            change({.method = "POST", .target = domainTarget(), .body = body.dump()});
+        if (!answer || !m_line.wait) {
+            return finish(answer);
+        }
+        return waitForDomain();
+    }
+
+    /// Polls until every daemon has confirmed the state and, for a failure domain that was taken
+    /// out, nothing is left in it.
+    ExitCode waitForDomain()
+    {
+        while (true) {
+            const auto state = domainState();
+            // A daemon that goes away while the operator waits is not the end of the change.
+            if (!state && exitCodeOf(state.error().code) != ExitCode::Unreachable) {
+                return fail(state.error());
+            }
+            if (state) {
+                const json &s = *state;
+                const bool wanted = s.value("state", "") == m_line.words[1];
+                if (!wanted) {
+                    print(s.dump());
+                    return fail({ResultCode::VersionConflict,
+                                 "the failure domain was changed again meanwhile", argument(0)});
+                }
+                const bool confirmed = s["daemons_confirmed"] == s["daemons"];
+                const bool empty = s["tasks_left"] == 0 && s["requests_in_progress"] == 0;
+                if (confirmed && (empty || m_line.words[1] == "in")) {
+                    print(s.dump());
+                    return ExitCode::Success;
+                }
+            }
+            if (!m_environment.pause()) {
+                m_environment.err << "acaciadealctl: the time limit has passed; the change is made "
+                                     "but not complete\n";
+                if (state) {
+                    print(state->dump());
+                }
+                return ExitCode::WaitExpired;
+            }
+        }
+    }
+
+    ExitCode hostAction()
+    {
+        std::string action = m_line.words[1];
+        std::replace(action.begin(), action.end(), '-', '_');
+        return finish(change({.method = "POST",
+                              .target = "/v1/hosts/" + encoded(argument(0)),
+                              .body = json{{"action", action}}.dump()}));
+    }
+
+    ExitCode tasksList()
+    {
+        std::string query;
+        for (const auto &[name, value] :
+             {std::pair{"team", m_line.team}, std::pair{"state", m_line.state}}) {
+            if (!value.empty()) {
+                query += (query.empty() ? "?" : "&") + std::string(name) + "=" + encoded(value);
+            }
+        }
+        return show({.target = "/v1/tasks" + query});
+    }
+
+    ExitCode tasksExplain()
+    {
+        return show({.target = "/v1/tasks/" + encoded(argument(0))});
+    }
+
+    ExitCode tasksCancel()
+    {
+        return finish(change(
+            {.method = "POST", .target = "/v1/tasks/" + encoded(argument(0)) + "/cancel"}));
+    }
+
+    ExitCode tasksLate()
+    {
+        return show({.target = "/v1/tasks-late"});
+    }
+
+    ExitCode requestGet()
+    {
+        return show({.target = "/v1/requests/" + encoded(argument(0))});
+    }
+
+    ExitCode jobSubmit()
+    {
+        auto text = readText(argument(0));
+        if (text) {
+            text = normalizeJson(*text);
+        }
+        if (!text) {
+            return fail(text.error());
+        }
+        return finish(
+            change({.method = "POST", .target = "/v1/jobs", .body = std::move(*text)}));
+    }
+
+    ExitCode alertsCheck()
+    {
+        const auto text = readText(argument(0));
+        if (!text) {
+            return fail(text.error());
+        }
+        const AlertRuleFile file = parseAlertRules(*text);
+        for (const Error &error : file.errors) {
+            fail(error);
+        }
+        print(json{{"rules", file.rules.size()}, {"faults", file.errors.size()}}.dump());
+        return file.errors.empty() ? ExitCode::Success : ExitCode::FaultsFound;
+    }
+
+    ExitCode alertsImport()
+    {
+        const auto text = readText(argument(0));
+        if (!text) {
+            return fail(text.error());
+        }
+        json lines = json::array();
+        std::size_t refused = 0;
+        for (ImportedLine &line : importAlertRules(*text)) {
+            if (m_line.apply && line.rule) {
+                applyRule(line);
+            }
+            json row = {{"line", line.number}, {"outcome", importOutcomeName(line.outcome)}};
+            if (line.rule) {
+                row["rule"] = json::parse(encodeAlertRule(*line.rule));
+            }
+            if (!line.changes.empty()) {
+                row["changes"] = line.changes;
+            }
+            if (line.outcome == ImportOutcome::Refused) {
+                ++refused;
+                row["code"] = static_cast<int>(line.error.code);
+                row["reason"] = std::string(resultCodeName(line.error.code)) + ": "
+                    + line.error.message
+                    + (line.error.where.empty() ? "" : " (" + line.error.where + ")");
+            }
+            lines.push_back(std::move(row));
+        }
+        print(json{{"lines", std::move(lines)}, {"refused", refused}}.dump());
+        return refused == 0 ? ExitCode::Success : ExitCode::FaultsFound;
+    }
+
+    /// Writes one rule as a new setting. A rule that is in force already is left as it is; another
+    /// one of the same name is not overwritten.
+    void applyRule(ImportedLine &line) const
+    {
+        const std::string root =
+            m_line.team.empty() ? "/alerts/" : "/teams/" + m_line.team + "/alerts/";
+        const std::string path = root + line.rule->name;
+        const std::string value = encodeAlertRule(*line.rule);
+        const auto refuse = [&line](Error error) {
+            line.outcome = ImportOutcome::Refused;
+            line.error = std::move(error);
+        };
+        const auto body = bodyOf({.target = settingsTarget(path)});
+        if (!body) {
+            refuse(body.error());
+            return;
+        }
+        const json current = json::parse(*body, nullptr, false);
+        if (!current.is_object() || !current.contains("value")) {
+            refuse({ResultCode::BackendFailed, "the answer is not valid", path});
+            return;
+        }
+        if (current["value"] == json::parse(value)) {
+            return;
+        }
+        if (!current["value"].is_null()) {
+            refuse({ResultCode::VersionConflict, "another rule of this name is in force", path});
+            return;
+        }
+        if (auto put = putSetting(path, value, current.value("path_version", 0ULL)); !put) {
+            refuse(put.error());
+        }
+    }
+
+    const CommandLine &m_line;
+    const CtlEnvironment &m_environment;
+};
+
+} // namespace
+
+ExitCode runCommand(const CommandLine &line, const CtlEnvironment &environment)
+{
+    if (line.help) {
+        environment.out << usageText();
+        return ExitCode::Success;
+    }
+    return Command(line, environment).run();
+}
+
+} // namespace acaciadeal
