--- a/packages/alerts/evaluation.cpp
+++ b/packages/alerts/evaluation.cpp
@@ -1,9 +1,11 @@
 #include "alerts/evaluation.h"
 
 #include "alerts/metriccatalogue.h"
+#include "settings/stablehash.h"
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <set>
 
 namespace acaciadeal {
@@ -14,13 +16,7 @@
 
 std::uint64_t rendezvousHash(const std::string &rule, const DaemonId &daemon)
 {
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const std::string *part : {&rule, &daemon.value}) {
-        for (const char c : *part) {
-            hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-        }
-        hash = (hash ^ 0xffU) * 0x100000001b3ULL;
-    }
+    std::uint64_t hash = stableHash({rule, daemon.value});
     // FNV-1a spreads the last bytes badly, and daemon names differ in them.
     hash = (hash ^ hash >> 30) * 0xbf58476d1ce4e5b9ULL;
     hash = (hash ^ hash >> 27) * 0x94d049bb133111ebULL;
@@ -35,10 +31,11 @@
     });
 }
 
-/// Returns the series of @p samples whose counter values the rule needs over time.
+/// Returns whether the rule needs the values of the series @p name over time.
 bool usesHistory(const AlertRule &rule, const std::string &name)
 {
-    return rule.over.count() != 0 && name == (rule.quantile ? rule.metric + "_bucket" : rule.metric);
+    return rule.over.count() != 0
+           && name == (rule.quantile ? rule.metric + "_bucket" : rule.metric);
 }
 
 void recordHistory(AlertState &state, std::span<const AlertRule> rules,
@@ -161,8 +158,8 @@
         }
         const auto points = state.history.find({sample.name, sample.labels});
         const auto [sum, seconds] = points == state.history.end()
-            ? std::pair<double, double>{0, 0}
-            : growth(points->second, now, rule.over);
+                                        ? std::pair<double, double>{0, 0}
+                                        : growth(points->second, now, rule.over);
         values[sample.labels] = seconds > 0 ? std::optional(sum / seconds) : std::nullopt;
     }
     return values;
@@ -180,7 +177,7 @@
         const MetricInfo *metric = findMetric(rule.metric);
         m_ownMetric = metric == nullptr || metric->scope == MetricScope::Daemon;
         m_reports = m_ownMetric || reporter.liveMembers.empty()
-            || reporterOf(rule.name, reporter.liveMembers) == reporter.self;
+                    || reporterOf(rule.name, reporter.liveMembers) == reporter.self;
     }
 
     void present(const MetricLabels &labels, std::optional<double> value, TimePoint now)
@@ -260,7 +257,7 @@
     return *std::min_element(members.begin(), members.end(),
                              [&rule](const DaemonId &a, const DaemonId &b) {
                                  return std::pair(rendezvousHash(rule, a), a.value)
-                                     < std::pair(rendezvousHash(rule, b), b.value);
+                                        < std::pair(rendezvousHash(rule, b), b.value);
                              });
 }
 
--- a/packages/alerts/evaluation_test.cpp
+++ b/packages/alerts/evaluation_test.cpp
@@ -12,10 +12,8 @@
 
 AlertRule ruleOf(std::string metric, Comparison comparison, double threshold)
 {
-    return {.name = "r",
-            .metric = std::move(metric),
-            .comparison = comparison,
-            .threshold = threshold};
+    return {
+        .name = "r", .metric = std::move(metric), .comparison = comparison, .threshold = threshold};
 }
 
 /// Runs one rule over time, one second a step.
--- a/packages/alerts/import.cpp
+++ b/packages/alerts/import.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <span>
 #include <sstream>
+#include <utility>
 
 namespace acaciadeal {
 namespace {
@@ -36,7 +37,7 @@
 };
 
 constexpr std::array severityNames = {
-    OldName{"page", "critical"}, OldName{"crit", "critical"}, OldName{"error", "critical"},
+    OldName{"page", "critical"}, OldName{"crit", "critical"},  OldName{"error", "critical"},
     OldName{"warn", "warning"},  OldName{"ticket", "warning"}, OldName{"notice", "info"},
 };
 
@@ -92,11 +93,13 @@
         for (const auto &[field, value] : object.items()) {
             const std::string newName = translated(fieldNames, field);
             if (m_fields.contains(newName)) {
-                return failure(ResultCode::MalformedRule,
-                               "two fields mean \"" + newName + "\"", field);
+                return failure(ResultCode::MalformedRule, "two fields mean \"" + newName + "\"",
+                               field);
             }
             if (newName != field) {
-                m_line.changes.push_back("field " + field + " -> " + newName);
+                std::string note = "field " + field;
+                note.append(" -> ").append(newName);
+                m_line.changes.push_back(std::move(note));
             }
             m_fields[newName] = value;
         }
@@ -135,8 +138,8 @@
         const auto name = m_fields["name"].get<std::string>();
         std::string segment = name;
         for (char &c : segment) {
-            const bool allowed =
-                std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+            const bool allowed = std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-'
+                                 || c == '_' || c == '.';
             c = allowed ? c : '-';
         }
         if (segment != name) {
--- a/packages/alerts/import.h
+++ b/packages/alerts/import.h
@@ -35,8 +35,8 @@
 };
 
 /// Translates the rule list of the setup that acaciadeal replaces: one JSON object a line, with the
-/// old names of fields, comparisons, severities and metrics (docs/alerts.md). The result has exactly
-/// one entry per line of @p text, in order. Thread-safe.
+/// old names of fields, comparisons, severities and metrics (docs/alerts.md). The result has
+/// exactly one entry per line of @p text, in order. Thread-safe.
 std::vector<ImportedLine> importAlertRules(const std::string &text);
 
 std::string_view importOutcomeName(ImportOutcome outcome);
--- a/packages/alerts/import_test.cpp
+++ b/packages/alerts/import_test.cpp
@@ -29,7 +29,7 @@
     for (std::size_t n = 0; n < lines.size(); ++n) {
         CHECK(lines[n].number == n + 1);
         const bool accepted = lines[n].outcome == ImportOutcome::InForce
-            || lines[n].outcome == ImportOutcome::Changed;
+                              || lines[n].outcome == ImportOutcome::Changed;
         CHECK(lines[n].rule.has_value() == accepted);
         CHECK((lines[n].outcome == ImportOutcome::Refused)
               == (lines[n].error.code != ResultCode::Ok));
--- a/packages/alerts/metriccatalogue.cpp
+++ b/packages/alerts/metriccatalogue.cpp
@@ -119,8 +119,9 @@
 
 const MetricAlias *findMetricAlias(const std::string &oldName)
 {
-    const auto it = std::find_if(aliasTable.begin(), aliasTable.end(),
-                                 [&](const MetricAlias &alias) { return alias.oldName == oldName; });
+    const auto it =
+        std::find_if(aliasTable.begin(), aliasTable.end(),
+                     [&](const MetricAlias &alias) { return alias.oldName == oldName; });
     return it == aliasTable.end() ? nullptr : &*it;
 }
 
--- a/packages/ctl/commandline.cpp
+++ b/packages/ctl/commandline.cpp
@@ -124,8 +124,7 @@
     // Zero makes glibc forget an earlier parse.
     optind = 0;
     opterr = 0;
-    for (int option = 0;
-         (option = getopt_long(argc, argv.data(), "h", options, nullptr)) != -1;) {
+    for (int option = 0; (option = getopt_long(argc, argv.data(), "h", options, nullptr)) != -1;) {
         auto read = readOption(line, option, optarg == nullptr ? "" : optarg);
         if (!read) {
             Error error = read.error();
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -320,8 +320,8 @@
         if (!text) {
             return fail(text.error());
         }
-        const auto body = bodyOf(
-            {.method = "POST", .target = "/v1/settings/validate", .body = std::move(*text)});
+        const auto body =
+            bodyOf({.method = "POST", .target = "/v1/settings/validate", .body = std::move(*text)});
         if (!body) {
             return fail(body.error());
         }
@@ -376,9 +376,8 @@
             }
             expected = (*state)["version"].get<std::uint64_t>();
         }
-        const json body = {{"state", m_line.words[1]},
-                           {"reason", m_line.reason},
-                           {"if_version", expected}};
+        const json body = {
+            {"state", m_line.words[1]}, {"reason", m_line.reason}, {"if_version", expected}};
         const auto answer =
             change({.method = "POST", .target = domainTarget(), .body = body.dump()});
         if (!answer || !m_line.wait) {
@@ -451,8 +450,8 @@
 
     ExitCode tasksCancel()
     {
-        return finish(change(
-            {.method = "POST", .target = "/v1/tasks/" + encoded(argument(0)) + "/cancel"}));
+        return finish(
+            change({.method = "POST", .target = "/v1/tasks/" + encoded(argument(0)) + "/cancel"}));
     }
 
     ExitCode tasksLate()
@@ -474,8 +473,7 @@
         if (!text) {
             return fail(text.error());
         }
-        return finish(
-            change({.method = "POST", .target = "/v1/jobs", .body = std::move(*text)}));
+        return finish(change({.method = "POST", .target = "/v1/jobs", .body = std::move(*text)}));
     }
 
     ExitCode alertsCheck()
@@ -515,8 +513,8 @@
                 ++refused;
                 row["code"] = static_cast<int>(line.error.code);
                 row["reason"] = std::string(resultCodeName(line.error.code)) + ": "
-                    + line.error.message
-                    + (line.error.where.empty() ? "" : " (" + line.error.where + ")");
+                                + line.error.message
+                                + (line.error.where.empty() ? "" : " (" + line.error.where + ")");
             }
             lines.push_back(std::move(row));
         }
@@ -570,7 +568,8 @@
         environment.out << usageText();
         return ExitCode::Success;
     }
-    return Command(line, environment).run();
+    Command command(line, environment);
+    return command.run();
 }
 
 } // namespace acaciadeal
--- a/packages/ctl/ctl_test.cpp
+++ b/packages/ctl/ctl_test.cpp
@@ -45,14 +45,15 @@
 
 HttpResponse domainAnswer(const std::string &state, int tasks, int requests, int confirmed)
 {
-    return jsonResponse(json{{"name", "a"},
-                             {"state", state},
-                             {"version", 7},
-                             {"tasks_left", tasks},
-                             {"requests_in_progress", requests},
-                             {"daemons", 3},
-                             {"daemons_confirmed", confirmed}}
-                            .dump());
+    return jsonResponse(json{
+        {"name", "a"},
+        {"state", state},
+        {"version", 7},
+        {"tasks_left", tasks},
+        {"requests_in_progress", requests},
+        {"daemons", 3},
+        {"daemons_confirmed",
+         confirmed}}.dump());
 }
 
 /// File that is removed with the object.
@@ -96,9 +97,9 @@
 
 TEST_CASE("options may stand anywhere and are checked")
 {
-    const auto line = parseCommandLine({"settings", "put", "/system/drain_rate", "30",
-                                        "--if-version", "4", "--address", "127.0.0.1:7201",
-                                        "--json"});
+    const auto line =
+        parseCommandLine({"settings", "put", "/system/drain_rate", "30", "--if-version", "4",
+                          "--address", "127.0.0.1:7201", "--json"});
     REQUIRE(line.has_value());
     CHECK(line->words.size() == 4);
     CHECK(line->ifVersion == 4U);
@@ -143,8 +144,8 @@
 TEST_CASE("a change whose answer was lost is repeated under the same id")
 {
     Session session;
-    session.answers = {failure(ResultCode::TimedOut, ""),
-                       failure(ResultCode::IncompleteAnswer, ""), jsonResponse("{}")};
+    session.answers = {failure(ResultCode::TimedOut, ""), failure(ResultCode::IncompleteAnswer, ""),
+                       jsonResponse("{}")};
     CHECK(session.run({"tasks", "cancel", "t/1"}) == ExitCode::Success);
     REQUIRE(session.requests.size() == 3);
     CHECK(session.requests[0].target == "/v1/tasks/t%2F1/cancel");
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -61,16 +61,16 @@
     HttpClient client(loop, {});
     const auto end = std::chrono::steady_clock::now() + line->timeout;
     const CtlEnvironment environment{
-        .call = [&](const HttpRequest &request) {
-            return callOnce(client, line->address, request);
-        },
-        .pause = [end] {
-            if (std::chrono::steady_clock::now() + pollPeriod > end) {
-                return false;
-            }
-            std::this_thread::sleep_for(pollPeriod);
-            return true;
-        },
+        .call =
+            [&](const HttpRequest &request) { return callOnce(client, line->address, request); },
+        .pause =
+            [end] {
+                if (std::chrono::steady_clock::now() + pollPeriod > end) {
+                    return false;
+                }
+                std::this_thread::sleep_for(pollPeriod);
+                return true;
+            },
         .newRequestId = &randomId,
         .out = std::cout,
         .err = std::cerr,
--- a/packages/ctl/textform.cpp
+++ b/packages/ctl/textform.cpp
@@ -18,8 +18,8 @@
 bool isTable(const json &value)
 {
     return value.is_array() && !value.empty()
-        && std::all_of(value.begin(), value.end(),
-                       [](const json &row) { return row.is_object(); });
+           && std::all_of(value.begin(), value.end(),
+                          [](const json &row) { return row.is_object(); });
 }
 
 void appendTable(std::string &text, const json &rows, const std::string &indent)
--- a/packages/daemon/settingsservice.cpp
+++ b/packages/daemon/settingsservice.cpp
@@ -187,15 +187,14 @@
 
     void readHead()
     {
-        context.platform.read(
-            {.keys = {headKey, snapshotKey}},
-            [self = shared_from_this()](const Result<std::vector<Row>> &rows) {
-                if (!rows) {
-                    self->finishRead(tl::unexpected<Error>(rows.error()));
-                    return;
-                }
-                self->onHead(*rows);
-            });
+        context.platform.read({.keys = {headKey, snapshotKey}},
+                              [self = shared_from_this()](const Result<std::vector<Row>> &rows) {
+                                  if (!rows) {
+                                      self->finishRead(tl::unexpected<Error>(rows.error()));
+                                      return;
+                                  }
+                                  self->onHead(*rows);
+                              });
     }
 
     void onHead(const std::vector<Row> &rows)
@@ -211,10 +210,9 @@
             (row.key == headKey ? newHead : newSnapshot) = {*number, row.version};
         }
         if (newHead.settingsVersion < tree.version) {
-            logEvent(EventId::SettingsStale,
-                     {{"source", "platform"},
-                      {"received", std::to_string(newHead.settingsVersion)},
-                      {"in_force", std::to_string(tree.version)}});
+            logEvent(EventId::SettingsStale, {{"source", "platform"},
+                                              {"received", std::to_string(newHead.settingsVersion)},
+                                              {"in_force", std::to_string(tree.version)}});
             finishRead(failure(ResultCode::PlatformUnavailable,
                                "the platform returned an older settings version", headKey));
             return;
@@ -308,11 +306,10 @@
                 rememberedSize -= sizeOf(remembered.front());
                 remembered.pop_front();
             }
-            logEvent(EventId::SettingsApplied,
-                     {{"version", std::to_string(entry.version)},
-                      {"path", entry.path},
-                      {"team", entry.team.value},
-                      {"request", entry.requestId.value}});
+            logEvent(EventId::SettingsApplied, {{"version", std::to_string(entry.version)},
+                                                {"path", entry.path},
+                                                {"team", entry.team.value},
+                                                {"request", entry.requestId.value}});
         }
         return applied;
     }
@@ -395,11 +392,10 @@
                 return own.version == entry.version;
             });
         if (it != remembered.end() && *it != entry) {
-            logEvent(EventId::SettingsStale,
-                     {{"source", "peer"},
-                      {"received", std::to_string(entry.version)},
-                      {"in_force", std::to_string(tree.version)},
-                      {"path", entry.path}});
+            logEvent(EventId::SettingsStale, {{"source", "peer"},
+                                              {"received", std::to_string(entry.version)},
+                                              {"in_force", std::to_string(tree.version)},
+                                              {"path", entry.path}});
         }
     }
 
@@ -437,8 +433,8 @@
     void storeSnapshotIfDue(bool ownWrite)
     {
         const bool due = ownWrite && tree.version % snapshotInterval == 0;
-        const bool overdue = tree.version - std::min(tree.version, snapshot.settingsVersion)
-            >= 2 * snapshotInterval;
+        const bool overdue =
+            tree.version - std::min(tree.version, snapshot.settingsVersion) >= 2 * snapshotInterval;
         if (storingSnapshot || (!due && !overdue)) {
             return;
         }
@@ -527,8 +523,8 @@
             return;
         }
         if (!result) {
-            deny(*pending, {ResultCode::PlatformUnavailable, result.error().message,
-                            result.error().where});
+            deny(*pending,
+                 {ResultCode::PlatformUnavailable, result.error().message, result.error().where});
             finishWrite(pending);
             return;
         }
@@ -562,11 +558,10 @@
     void send(const std::shared_ptr<PendingWrite> &pending)
     {
         pending->sent = true;
-        context.platform.commit(
-            pending->transaction,
-            [self = shared_from_this(), pending](const Result<CommitVersions> &versions) {
-                self->onCommit(pending, versions);
-            });
+        context.platform.commit(pending->transaction, [self = shared_from_this(), pending](
+                                                          const Result<CommitVersions> &versions) {
+            self->onCommit(pending, versions);
+        });
     }
 
     void onCommit(const std::shared_ptr<PendingWrite> &pending,
@@ -595,9 +590,8 @@
             return;
         }
         if (!pending->uncertain) {
-            logEvent(EventId::WriteOutcomeUnknown,
-                     {{"key", settingsLogKey(pending->entry.version)},
-                      {"request", pending->write.requestId.value}});
+            logEvent(EventId::WriteOutcomeUnknown, {{"key", settingsLogKey(pending->entry.version)},
+                                                    {"request", pending->write.requestId.value}});
         }
         pending->uncertain = true;
         later([pending](Impl &self) { self.send(pending); });
@@ -662,13 +656,12 @@
 
     static void logDenied(const SettingsWrite &write, const Error &error)
     {
-        logEvent(EventId::SettingsDenied,
-                 {{"path", write.path},
-                  {"team", write.team.value},
-                  {"request", write.requestId.value},
-                  {"code", std::to_string(static_cast<int>(error.code))},
-                  {"name", std::string(resultCodeName(error.code))},
-                  {"reason", error.message}});
+        logEvent(EventId::SettingsDenied, {{"path", write.path},
+                                           {"team", write.team.value},
+                                           {"request", write.requestId.value},
+                                           {"code", std::to_string(static_cast<int>(error.code))},
+                                           {"name", std::string(resultCodeName(error.code))},
+                                           {"reason", error.message}});
     }
 
     // Routes.
@@ -682,8 +675,8 @@
         constexpr std::string_view scheme = "Bearer ";
         const std::string authorization = headerOf(request, "authorization");
         const auto token = authorization.starts_with(scheme)
-            ? context.settings.tokens.find(authorization.substr(scheme.size()))
-            : context.settings.tokens.end();
+                               ? context.settings.tokens.find(authorization.substr(scheme.size()))
+                               : context.settings.tokens.end();
         std::optional<Error> error;
         if (token == context.settings.tokens.end()) {
             error = {ResultCode::PermissionDenied, "no known token is given", write.path};
@@ -701,10 +694,8 @@
             respond(errorResponse(*error));
             return;
         }
-        context.control.post(
-            [self = shared_from_this(), write = std::move(write), respond = std::move(respond)] {
-                self->addWrite(write, respond);
-            });
+        context.control.post([self = shared_from_this(), write = std::move(write),
+                              respond = std::move(respond)] { self->addWrite(write, respond); });
     }
 
     HttpResponse serveGet(const std::string &target) const
@@ -833,8 +824,7 @@
             });
         }
         const auto age = std::chrono::steady_clock::now() - confirmedAt;
-        context.metrics.set("settings_age_seconds", {},
-                            std::chrono::duration<double>(age).count());
+        context.metrics.set("settings_age_seconds", {}, std::chrono::duration<double>(age).count());
     }
 
     std::shared_ptr<const SettingsTree> current() const
--- a/packages/daemon/settingsservice_test.cpp
+++ b/packages/daemon/settingsservice_test.cpp
@@ -201,7 +201,8 @@
     for (auto &answer : answers) {
         CHECK(answer.get().status == 200);
     }
-    waitUntil([&] { return a.service->version() == 2 * count && b.service->version() == 2 * count; });
+    waitUntil(
+        [&] { return a.service->version() == 2 * count && b.service->version() == 2 * count; });
     CHECK(*a.service->current() == *b.service->current());
     CHECK(fixture.platform.rows("settings/log/").size() == 2 * count);
 }
@@ -275,8 +276,7 @@
         const std::string text = std::to_string(n);
         REQUIRE(a.put(drain, std::to_string(30 + n), text, "r" + text).get().status == 200);
     }
-    const auto entries =
-        fixture.onControl([&] { return a.service->onSettingsFetch(0); }).entries;
+    const auto entries = fixture.onControl([&] { return a.service->onSettingsFetch(0); }).entries;
     REQUIRE(entries.size() == 3);
     CHECK(fixture.onControl([&] { return a.service->onPeerEntries({{entries[0]}}); }).has_value());
     CHECK(a.service->version() == 3);
@@ -324,28 +324,37 @@
 {
     Fixture fixture;
     Daemon &daemon = fixture.add();
-    const auto code = [](ResultCode expected) { return static_cast<int>(expected); };
+    const auto code = [](ResultCode expected) {
+        return static_cast<int>(expected);
+    };
     CHECK(codeOf(daemon.put(drain, "30", "0", "r", "guess").get())
           == code(ResultCode::PermissionDenied));
-    CHECK(codeOf(daemon.put(drain, "30", "0", "r", "").get()) == code(ResultCode::PermissionDenied));
+    CHECK(codeOf(daemon.put(drain, "30", "0", "r", "").get())
+          == code(ResultCode::PermissionDenied));
     CHECK(codeOf(daemon.put(drain, "30", "0", "r", "crew-token").get())
           == code(ResultCode::PermissionDenied));
     CHECK(codeOf(daemon.put(drain, "30", "", "r").get()) == code(ResultCode::MalformedRequest));
     CHECK(codeOf(daemon.put(drain, "30", "0", "").get()) == code(ResultCode::MalformedRequest));
     CHECK(codeOf(daemon.put(drain, "0", "0", "r").get()) == code(ResultCode::OutOfRange));
     CHECK(codeOf(daemon.put("/system/x", "0", "0", "r").get()) == code(ResultCode::UnknownSetting));
-    CHECK(codeOf(daemon
-                     .put("/alerts/r",
-                          R"({"name":"r","metric":"x","comparison":">","threshold":1,"severity":"info"})",
-                          "0", "r")
-                     .get())
-          == code(ResultCode::UnknownMetric));
-    CHECK(codeOf(daemon
-                     .put("/alerts/r",
-                          R"({"name":"s","metric":"members","comparison":">","threshold":1,"severity":"info"})",
-                          "0", "r")
-                     .get())
-          == code(ResultCode::MalformedRule));
+    CHECK(
+        codeOf(
+            daemon
+                .put(
+                    "/alerts/r",
+                    R"({"name":"r","metric":"x","comparison":">","threshold":1,"severity":"info"})",
+                    "0", "r")
+                .get())
+        == code(ResultCode::UnknownMetric));
+    CHECK(
+        codeOf(
+            daemon
+                .put(
+                    "/alerts/r",
+                    R"({"name":"s","metric":"members","comparison":">","threshold":1,"severity":"info"})",
+                    "0", "r")
+                .get())
+        == code(ResultCode::MalformedRule));
     CHECK(fixture.platform.rows("settings/").empty());
     CHECK(daemon.put("/teams/crew/weight", "2", "0", "r", "crew-token").get().status == 200);
 }
@@ -358,20 +367,19 @@
     REQUIRE(daemon.put("/system/refill_rate", "60", "0", "r2").get().status == 200);
     const json tree = daemon.get("/v1/settings");
     CHECK(tree["version"] == 2);
-    CHECK(tree["settings"][drain]
-          == json{{"value", 30}, {"path_version", 1}, {"version", 1}});
+    CHECK(tree["settings"][drain] == json{{"value", 30}, {"path_version", 1}, {"version", 1}});
     CHECK(daemon.get("/v1/settings/system/weights/evictions")["default"] == true);
     const json history = daemon.get("/v1/settings-history?path=" + drain);
     REQUIRE(history["changes"].size() == 1);
     CHECK(history["changes"][0]["request_id"] == "r1");
     CHECK(history["complete_after"] == 0);
     const auto validate = [&daemon](std::string body) {
-        return json::parse(daemon
-                               .send({.method = "POST",
-                                      .target = "/v1/settings/validate",
-                                      .body = std::move(body)})
-                               .get()
-                               .body);
+        return json::parse(
+            daemon
+                .send(
+                    {.method = "POST", .target = "/v1/settings/validate", .body = std::move(body)})
+                .get()
+                .body);
     };
     CHECK(validate(R"({"/system/drain_rate":5,"/system/leases/lease_ms":20000,
                        "/system/leases/renew_period_ms":9000})")["valid"]
--- a/packages/settings/schema.cpp
+++ b/packages/settings/schema.cpp
@@ -21,9 +21,10 @@
 constexpr double dayMs = 86'400'000;
 
 constexpr std::array table = {
-    SettingSchema{"/system/pressure_order", SettingType::NameList, 0, 0, pressureSteps,
-                  R"(["throttle_batch","evict_batch","shed_batch_requests","shed_normal_requests"])",
-                  "Order in which work is given up under pressure; urgent requests are never in it."},
+    SettingSchema{
+        "/system/pressure_order", SettingType::NameList, 0, 0, pressureSteps,
+        R"(["throttle_batch","evict_batch","shed_batch_requests","shed_normal_requests"])",
+        "Order in which work is given up under pressure; urgent requests are never in it."},
     SettingSchema{"/system/pressure/usage_percent", SettingType::Integer, 50, 100, "", "90",
                   "Reported usage of a host above which it is under pressure, in percent."},
     SettingSchema{"/system/pressure/wait_percent", SettingType::Integer, 1, 100, "", "50",
@@ -120,8 +121,8 @@
 
 tl::unexpected<Error> wrongType(const SettingSchema &schema, const std::string &path)
 {
-    return failure(ResultCode::WrongType,
-                   "expected " + std::string(settingTypeName(schema.type)), path);
+    return failure(ResultCode::WrongType, "expected " + std::string(settingTypeName(schema.type)),
+                   path);
 }
 
 tl::unexpected<Error> outOfRange(const SettingSchema &schema, const std::string &path)
@@ -170,10 +171,12 @@
         return wrongType(schema, path);
     }
     for (const auto &[key, amount] : value.items()) {
+        std::string amountPath = path;
+        amountPath.append("/").append(key);
         if (key != "milli_cores" && key != "memory_mib" && key != "accelerators") {
-            return failure(ResultCode::UnknownSetting, "no such amount", path + "/" + key);
+            return failure(ResultCode::UnknownSetting, "no such amount", amountPath);
         }
-        if (auto checked = checkNumber(schema, amount, path + "/" + key); !checked) {
+        if (auto checked = checkNumber(schema, amount, amountPath); !checked) {
             return checked;
         }
     }
@@ -277,7 +280,7 @@
     }
     case SettingType::Amounts:
         return "milli_cores, memory_mib, accelerators: each " + bound(schema.minimum) + " to "
-            + bound(schema.maximum);
+               + bound(schema.maximum);
     case SettingType::AlertRule:
         return "an object with the fields of a rule";
     }
@@ -316,10 +319,10 @@
 bool isPathSegment(std::string_view name)
 {
     return !name.empty() && name.size() <= maxSegmentLength && name != "." && name != ".."
-        && std::all_of(name.begin(), name.end(), [](char c) {
-               return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
-                   || c == '-' || c == '_' || c == '.';
-           });
+           && std::all_of(name.begin(), name.end(), [](char c) {
+                  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+                         || c == '-' || c == '_' || c == '.';
+              });
 }
 
 } // namespace acaciadeal
--- a/packages/settings/schema_test.cpp
+++ b/packages/settings/schema_test.cpp
@@ -20,10 +20,9 @@
 std::string examplePath(std::string_view pattern)
 {
     std::string path(pattern);
-    for (const auto &[from, to] :
-         {std::pair<std::string, std::string>{"<team>", "crew"},
-          {"<rule>", "rule"},
-          {"{urgent|normal|batch}", "urgent"}}) {
+    for (const auto &[from, to] : {std::pair<std::string, std::string>{"<team>", "crew"},
+                                   {"<rule>", "rule"},
+                                   {"{urgent|normal|batch}", "urgent"}}) {
         if (const auto at = path.find(from); at != std::string::npos) {
             path.replace(at, from.size(), to);
         }
@@ -105,9 +104,9 @@
         const auto tree = nlohmann::json::parse(readFile("settings/trees/" + name + ".json"),
                                                 nullptr, true, true);
         CHECK(tree.contains("/system/pressure_order"));
-        for (const auto &[path, value] : tree.items()) {
-            CAPTURE(path);
-            CHECK(codeOf(path, value.dump()) == ResultCode::Ok);
+        for (const auto &item : tree.items()) {
+            CAPTURE(item.key());
+            CHECK(codeOf(item.key(), item.value().dump()) == ResultCode::Ok);
         }
     }
 }
--- a/packages/settings/settingstree.cpp
+++ b/packages/settings/settingstree.cpp
@@ -1,6 +1,7 @@
 #include "settings/settingstree.h"
 
 #include "settings/schema.h"
+#include "settings/stablehash.h"
 
 #include <algorithm>
 #include <array>
@@ -32,18 +33,9 @@
     OrderConstraint{"/system/leases/outage_lease_ms", 1, "/system/leases/autonomy_ms"},
 };
 
-/// FNV-1a. The value is stored in snapshots, so it must not depend on the standard library.
 std::uint64_t fingerprintOf(const std::string &path, const std::string &value, const TeamId &team)
 {
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const std::string *part : {&path, &value, &team.value}) {
-        for (const char c : *part) {
-            hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-        }
-        // No byte of a UTF-8 text is 0xff, so the parts cannot be confused.
-        hash = (hash ^ 0xffU) * 0x100000001b3ULL;
-    }
-    return hash;
+    return stableHash({path, value, team.value});
 }
 
 const AcceptedWrite *findAccepted(const SettingsTree &tree, const RequestId &id)
@@ -271,8 +263,7 @@
         SettingsTree tree;
         tree.version = value.at("version").get<std::uint64_t>();
         for (const auto &[path, stored] : value.at("values").items()) {
-            tree.values[path] = {stored.at(0).get<std::string>(),
-                                 stored.at(1).get<std::uint64_t>(),
+            tree.values[path] = {stored.at(0).get<std::string>(), stored.at(1).get<std::uint64_t>(),
                                  stored.at(2).get<std::uint64_t>()};
         }
         for (const json &stored : value.at("accepted")) {
--- a/packages/settings/settingstree_test.cpp
+++ b/packages/settings/settingstree_test.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-SettingsWrite writeOf(std::string path, std::string value, std::uint64_t expected,
-                      std::string id, std::string team = "system")
+SettingsWrite writeOf(std::string path, std::string value, std::uint64_t expected, std::string id,
+                      std::string team = "system")
 {
     return {.path = std::move(path),
             .value = std::move(value),
