Number orders per holder, bound checkpoint names, keep preemptions moving

Cause: a host that was removed and added again got sequences from 1 and refused them for the rest of the epoch. A checkpoint name of any length could make an entry larger than a row. An urgent task waited a whole lease for evictions on a host that had gone silent. Placements of one proposal did not count as load for the next ones.

Change: one order counter per holder; decodeReport() refuses checkpoint names beyond 1,024 bytes; a preemption moves on when its host does not answer; slots carry their own load sums.

--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -59,6 +59,7 @@
 std::vector<Change> makeHosts(int count)
 {
     std::vector<Change> changes;
+    changes.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n) {
         changes.emplace_back(HostUpdated{{name("worker", n)},
                                          {name("rack", n / hostsPerRack)},
--- a/packages/scheduling/holder.h
+++ b/packages/scheduling/holder.h
@@ -129,6 +129,9 @@
     std::optional<TimePoint> domainInSince;
     bool platformReachable = true;
     std::map<HostId, WorkerView> workers;
+    /// Sequence of the newest orders to any worker. One counter serves all, because a host that is
+    /// removed and added again still remembers the last sequence of the epoch.
+    std::uint64_t orderSequence = 0;
     std::map<TaskRun, PendingStart> pendingStarts;
     /// Runs that should stop, with the reason that will be recorded.
     std::map<TaskRun, ReleaseReason> stopping;
--- a/packages/scheduling/holder_test.cpp
+++ b/packages/scheduling/holder_test.cpp
@@ -1,5 +1,6 @@
 #include "kernel/pluginregistry.h"
 #include "scheduling/holder.h"
+#include "state/codec.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -80,6 +81,16 @@
                      .size = size}};
 }
 
+std::vector<Task> makeTasks(const std::string &prefix, int count)
+{
+    std::vector<Task> tasks;
+    tasks.reserve(static_cast<std::size_t>(count));
+    for (int n = 0; n < count; ++n) {
+        tasks.push_back(makeTask(numbered(prefix, n)));
+    }
+    return tasks;
+}
+
 /// Holder of one shard with a manual clock and fake workers.
 struct Cell
 {
@@ -116,7 +127,7 @@
 
     Proposal proposeAndAppend()
     {
-        const Proposal proposal = propose(holder, now);
+        Proposal proposal = propose(holder, now);
         append(proposal);
         return proposal;
     }
@@ -124,6 +135,7 @@
     void accept(const std::vector<Task> &tasks)
     {
         std::vector<Change> changes;
+        changes.reserve(tasks.size());
         for (const Task &task : tasks) {
             changes.emplace_back(JobAccepted{task.spec.job, {task}});
         }
@@ -559,11 +571,7 @@
 TEST_CASE("a host on probation gets one trial task at a time")
 {
     Cell cell(1);
-    std::vector<Task> tasks;
-    for (const char *const id : {"a", "b", "c"}) {
-        tasks.push_back(makeTask(id));
-    }
-    cell.accept(tasks);
+    cell.accept({makeTask("a"), makeTask("b"), makeTask("c")});
     cell.settle();
     for (const char *const id : {"a", "b", "c"}) {
         cell.workers[{"h1"}].end({{id}, 1}, RunOutcome::Failed);
@@ -670,11 +678,7 @@
 TEST_CASE("placement into a returned failure domain grows by the refill rate")
 {
     Cell cell(10, {.refillPerSecond = 2});
-    std::vector<Task> tasks;
-    for (int n = 0; n < 40; ++n) {
-        tasks.push_back(makeTask(numbered("t", n)));
-    }
-    cell.accept(tasks);
+    cell.accept(makeTasks("t", 40));
     setDomainState(cell.holder, false, cell.now);
     setDomainState(cell.holder, true, cell.now);
     CHECK(changesOf<TaskPlaced>(cell.proposeAndAppend()).empty());
@@ -785,21 +789,78 @@
 TEST_CASE("a proposal stays within the entry limits")
 {
     Cell cell(10, {.maxChangesPerEntry = 7});
-    std::vector<Task> tasks;
-    for (int n = 0; n < 30; ++n) {
-        tasks.push_back(makeTask(numbered("t", n)));
-    }
-    cell.accept(tasks);
+    cell.accept(makeTasks("t", 30));
     CHECK(propose(cell.holder, cell.now).changes.size() == 7);
     Cell wide(10);
-    tasks.clear();
-    for (int n = 0; n < 30; ++n) {
-        tasks.push_back(makeTask(numbered(std::string(4000, 'x'), n)));
+    wide.accept(makeTasks(std::string(4000, 'x'), 30));
+    const auto changes = propose(wide.holder, wide.now).changes;
+    CHECK(changes.size() > 10);
+    CHECK(encodeLogEntry({.changes = changes}).size() < 64 * 1024);
+}
+
+// Guards against orders that a host refuses for ever, because it remembers the epoch's sequence.
+TEST_CASE("a host that is removed and added again gets higher sequences")
+{
+    Cell cell(1);
+    cell.now += 5s;
+    cell.exchange();
+    cell.append({}, {HostRemoved{{"h1"}}});
+    cell.append({}, {HostUpdated{{"h1"}, {"r1"}, hostSize}});
+    cell.exchange();
+    CHECK(cell.holder.workers[{"h1"}].epochAcknowledged);
+}
+
+// Guards against an urgent task that waits for evictions on a host that has just gone silent.
+TEST_CASE("a preemption moves on when its host does not answer")
+{
+    Cell cell(2);
+    cell.accept(
+        {makeTask("a", TaskClass::Batch, hostSize), makeTask("b", TaskClass::Batch, hostSize)});
+    cell.settle();
+    cell.accept({makeTask("u", TaskClass::Urgent, {1500, 1500, 0})});
+    propose(cell.holder, cell.now);
+    REQUIRE(cell.holder.preemptions.at({"u"}).host == HostId{"h1"});
+    cell.exchange({{"h1"}});
+    propose(cell.holder, cell.now);
+    CHECK(cell.holder.preemptions.at({"u"}).host == HostId{"h2"});
+}
+
+// Guards against an answer from another epoch being taken as proof or as a permit.
+TEST_CASE("an answer from another epoch is ignored")
+{
+    Cell cell(1);
+    cell.accept({makeTask("a")});
+    cell.settle();
+    cell.now += 5s;
+    const auto orders = dueOrders(cell.holder, cell.now);
+    const std::uint64_t permit = cell.holder.workers[{"h1"}].permit;
+    onReport(cell.holder, {"h1"},
+             {.bootId = "boot-2",
+              .epoch = cell.holder.epoch + 1,
+              .sequence = orders.at({"h1"}).sequence,
+              .permit = 999},
+             cell.now);
+    CHECK(cell.holder.absent.empty());
+    CHECK(cell.holder.workers[{"h1"}].permit == permit);
+    CHECK(cell.holder.workers[{"h1"}].unanswered == 1);
+}
+
+// Guards against waiting tasks behind the scan limit that no proposal ever looks at.
+TEST_CASE("the scan of a long queue goes on where it ended")
+{
+    Cell cell(1);
+    std::vector<Task> tasks;
+    for (Task &task : makeTasks("t", 3000)) {
+        task.spec.team = {"held"};
+        tasks.push_back(std::move(task));
     }
-    wide.accept(tasks);
-    const auto changes = propose(wide.holder, wide.now).changes.size();
-    CHECK(changes > 10);
-    CHECK(changes < 16);
+    tasks.push_back(makeTask("last"));
+    cell.holder.options.quotas[{"held"}] = {};
+    cell.accept(tasks);
+    CHECK(propose(cell.holder, cell.now).changes.empty());
+    const auto placed = changesOf<TaskPlaced>(propose(cell.holder, cell.now));
+    REQUIRE(placed.size() == 1);
+    CHECK(placed.at(0).task == TaskId{"last"});
 }
 
 // Guards against sums that drift from the state when a host changes its rack.
--- a/packages/scheduling/orders.cpp
+++ b/packages/scheduling/orders.cpp
@@ -128,8 +128,9 @@
 WorkerOrders makeOrders(Holder &holder, const HostId &host, WorkerView &view, PendingWork *work,
                         TimePoint now)
 {
+    view.lastSequence = ++holder.orderSequence;
     WorkerOrders orders{
-        .shard = holder.state.shard, .epoch = holder.epoch, .sequence = ++view.lastSequence};
+        .shard = holder.state.shard, .epoch = holder.epoch, .sequence = view.lastSequence};
     // The permit of every start in the message was received before its append, so the oldest of
     // them is valid for all. It also serves the renewal, which it shortens by the start window at
     // most.
--- a/packages/scheduling/proposal.cpp
+++ b/packages/scheduling/proposal.cpp
@@ -37,7 +37,9 @@
 {
     const HostState *host = nullptr;
     WorkerView *view = nullptr;
-    const HostLoad *load = nullptr;
+    /// Placed batch work that can be evicted, without placements of this proposal.
+    Resources evictable;
+    HostLoad load;
     Resources available;
     std::size_t rack = 0;
     bool fresh = false;
@@ -61,9 +63,9 @@
     const std::int64_t cores = slot.host->capacity.milliCores;
     const std::int64_t committed = cores - slot.available.milliCores;
     const double load =
-        std::min(1.0, std::max(ratio(committed, cores), ratio(slot.load->usedMilliCores, cores)));
-    slot.latencyHarm = load * std::min(1.0, ratio(slot.load->batch.milliCores, cores));
-    slot.batchHarm = load * std::min(1.0, ratio(slot.load->latencyCritical.milliCores, cores));
+        std::min(1.0, std::max(ratio(committed, cores), ratio(slot.load.usedMilliCores, cores)));
+    slot.latencyHarm = load * std::min(1.0, ratio(slot.load.batch.milliCores, cores));
+    slot.batchHarm = load * std::min(1.0, ratio(slot.load.latencyCritical.milliCores, cores));
 }
 
 class Proposer
@@ -237,8 +239,12 @@
 
     void buildSlots()
     {
+        // Evictions on a host that does not answer may take a lease to be proved, which is longer
+        // than an urgent task may wait.
         std::erase_if(m_holder.preemptions, [this](const auto &item) {
-            return !m_holder.waitingSince.contains(item.first);
+            const auto view = m_holder.workers.find(item.second.host);
+            return !m_holder.waitingSince.contains(item.first) || view == m_holder.workers.end()
+                   || view->second.unanswered > 0;
         });
         std::map<HostId, const TaskId *> reserved;
         for (const auto &[task, preemption] : m_holder.preemptions) {
@@ -257,9 +263,11 @@
             if (!isEligible(host, view)) {
                 continue;
             }
+            const HostLoad &load = m_holder.loads[id];
             Slot slot{.host = &host,
                       .view = &view,
-                      .load = &m_holder.loads[id],
+                      .evictable = load.batch,
+                      .load = load,
                       .available = host.capacity - host.committed,
                       .rack = m_rackIndex.try_emplace(host.rack, m_rackIndex.size()).first->second,
                       .fresh = isFresh(view),
@@ -463,6 +471,9 @@
     {
         slot.available = slot.available - task.spec.size;
         slot.trialTaken = slot.probation;
+        Resources &load =
+            task.spec.taskClass == TaskClass::Batch ? slot.load.batch : slot.load.latencyCritical;
+        load = load + task.spec.size;
         estimateHarm(slot);
         ++racksOf(task.spec.job)[slot.rack];
         Resources &team = committedTo(task.spec.team);
@@ -507,8 +518,8 @@
         double lowest = 0;
         for (Slot &slot : m_slots) {
             const Resources lacking = task.spec.size - slot.available;
-            if (slot.reservedFor != nullptr || slot.probation
-                || !fits(task.spec.size, slot.available + slot.load->batch)) {
+            if (slot.reservedFor != nullptr || slot.probation || slot.view->unanswered > 0
+                || !fits(task.spec.size, slot.available + slot.evictable)) {
                 continue;
             }
             const double shortage =
@@ -559,7 +570,7 @@
             preemption.victims.insert({victim->spec.id, victim->incarnation});
         }
         if (!fits(task.spec.size, available)) {
-            return; // Room that this proposal has given away counts as batch load already.
+            return;
         }
         for (const TaskRun &victim : preemption.victims) {
             m_holder.stopping.emplace(victim, ReleaseReason::Evicted);
--- a/packages/scheduling/workermessage.cpp
+++ b/packages/scheduling/workermessage.cpp
@@ -110,6 +110,9 @@
 
 EndedRun endedOf(const json &value)
 {
+    if (value.at("checkpoint").get_ref<const std::string &>().size() > maxCheckpointName) {
+        throw json::other_error::create(501, "the checkpoint name is too long", &value);
+    }
     return {.run = runOf(value),
             .outcome = enumOf<RunOutcome>(value.at("outcome"), outcomeNames),
             .checkpoint = value.at("checkpoint").get<std::string>(),
--- a/packages/scheduling/workermessage.h
+++ b/packages/scheduling/workermessage.h
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "state/task.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -71,6 +72,7 @@
 {
     TaskRun run;
     RunOutcome outcome = RunOutcome::Finished;
+    /// At most maxCheckpointName bytes.
     std::string checkpoint;
     std::string detail;
 
@@ -97,6 +99,9 @@
     friend bool operator==(const RefusedStart &, const RefusedStart &) = default;
 };
 
+/// A checkpoint name becomes part of a log entry, which has at most 64 KB.
+constexpr std::size_t maxCheckpointName = 1'024;
+
 /// Answer of a worker. It always reports all running and all unacknowledged ended runs of the
 /// shard.
 struct WorkerReport
--- a/packages/scheduling/workermessage_test.cpp
+++ b/packages/scheduling/workermessage_test.cpp
@@ -49,3 +49,13 @@
     WorkerOrders orders{.starts = {{.run = {{"a"}, 1}, .payload = "\xff"}}};
     CHECK(decodeOrders(encodeOrders(orders)).value().starts.at(0).payload == "\xef\xbf\xbd");
 }
+
+// Guards against a checkpoint name that no log entry can hold, which would block the shard's log.
+TEST_CASE("a checkpoint name beyond the limit is refused")
+{
+    WorkerReport report{.ended = {{.run = {{"a"}, 1}}}};
+    report.ended[0].checkpoint.assign(maxCheckpointName, 'c');
+    CHECK(decodeReport(encodeReport(report)));
+    report.ended[0].checkpoint += 'c';
+    CHECK(decodeReport(encodeReport(report)).error().code == ResultCode::MalformedRequest);
+}
