Test late, stale and repeated answers of workers

Cause: a trial with mutated code showed that no test noticed a late answer taken as proof about a younger start, a stale answer taken as carried out, or a start sent although the failure domain left while its append was in flight.

Change: three tests cover these cases.

--- a/packages/scheduling/holder_test.cpp
+++ b/packages/scheduling/holder_test.cpp
@@ -285,24 +285,47 @@
     }
 }
 
-// Guards against a late answer to older orders being taken as proof about a younger start.
+// Guards against G2: a late answer to older orders taken as proof about a younger start, either
+// while the start is on its way or after the worker has confirmed it.
 TEST_CASE("an answer to older orders proves nothing about a younger start")
+{
+    for (const bool confirmed : {false, true}) {
+        Cell cell(1);
+        cell.accept({makeTask("a")});
+        const Proposal proposal = propose(cell.holder, cell.now);
+        cell.now += 100ms;
+        cell.holder.workers[{"h1"}].permitWanted = true;
+        const auto older = dueOrders(cell.holder, cell.now);
+        const WorkerReport late = cell.workers[{"h1"}].carryOut(older.at({"h1"}));
+        onNoReport(cell.holder, {"h1"}, cell.now);
+        cell.append(proposal);
+        cell.now += 1s;
+        const auto start = dueOrders(cell.holder, cell.now);
+        REQUIRE(start.at({"h1"}).starts.size() == 1);
+        const WorkerReport report = cell.workers[{"h1"}].carryOut(start.at({"h1"}));
+        if (confirmed) {
+            onReport(cell.holder, {"h1"}, report, cell.now);
+        }
+        onReport(cell.holder, {"h1"}, late, cell.now);
+        CHECK(cell.holder.absent.empty());
+        CHECK(cell.holder.pendingStarts.empty() == confirmed);
+        CHECK(cell.holder.workers[{"h1"}].orderInFlight != confirmed);
+        CHECK(changesOf<TaskReleased>(propose(cell.holder, cell.now)).empty());
+    }
+}
+
+// Guards against a worker that ignores the orders being taken for one that carried them out.
+TEST_CASE("a stale answer counts as none")
 {
     Cell cell(1);
-    cell.now += 5s;
-    const auto renewal = dueOrders(cell.holder, cell.now);
-    const WorkerReport late = cell.workers[{"h1"}].carryOut(renewal.at({"h1"}));
-    onNoReport(cell.holder, {"h1"}, cell.now);
-    cell.now += 5s;
-    cell.exchange();
     cell.accept({makeTask("a")});
     cell.proposeAndAppend();
-    const auto start = dueOrders(cell.holder, cell.now);
-    REQUIRE(start.at({"h1"}).starts.size() == 1);
-    onReport(cell.holder, {"h1"}, late, cell.now);
+    const auto orders = dueOrders(cell.holder, cell.now);
+    cell.workers[{"h1"}].sequence = orders.at({"h1"}).sequence;
+    onReport(cell.holder, {"h1"}, cell.workers[{"h1"}].carryOut(orders.at({"h1"})), cell.now);
     CHECK(cell.holder.absent.empty());
     CHECK(cell.holder.pendingStarts.size() == 1);
-    CHECK(cell.holder.workers[{"h1"}].orderInFlight);
+    CHECK(cell.holder.workers[{"h1"}].unanswered == 1);
 }
 
 // Guards against a start that the worker refused being waited for until the lease lapses.
@@ -648,13 +671,20 @@
 // Guards against G4: a start that was appended before the take-out and not sent yet.
 TEST_CASE("an unsent start is withdrawn when the failure domain is taken out")
 {
-    Cell cell(1);
-    cell.accept({makeTask("a"), makeTask("b")});
-    const Proposal proposal = propose(cell.holder, cell.now);
-    cell.append(proposal);
-    setDomainState(cell.holder, false, cell.now);
-    CHECK(cell.exchange().empty());
-    CHECK(changesOf<TaskReleased>(cell.proposeAndAppend()).size() == 2);
+    for (const bool appendedBefore : {true, false}) {
+        Cell cell(1);
+        cell.accept({makeTask("a"), makeTask("b")});
+        const Proposal proposal = propose(cell.holder, cell.now);
+        if (appendedBefore) {
+            cell.append(proposal);
+        }
+        setDomainState(cell.holder, false, cell.now);
+        if (!appendedBefore) {
+            cell.append(proposal);
+        }
+        CHECK(cell.exchange().empty());
+        CHECK(changesOf<TaskReleased>(cell.proposeAndAppend()).size() == 2);
+    }
 }
 
 // Guards against tasks that stay in a failure domain that is out, or are lost on the way.
