Add the failure tests against real daemon processes

Each test names the guarantees G1 to G10 that it guards and takes its verdict from the stand-ins' own records.

--- a/tests/failure/cluster.cpp
+++ b/tests/failure/cluster.cpp
@@ -365,12 +365,12 @@
 }
 
 Answer Cluster::submitJob(const Daemon &daemon, const std::string &job, int tasks,
-                          const json &payload, const std::string &taskClass)
+                          const json &payload, const std::string &failureDomain)
 {
     json list = json::array();
     for (int n = 1; n <= tasks; ++n) {
         list.push_back({{"task", taskName(job, n)},
-                        {"class", taskClass},
+                        {"class", "batch"},
                         {"milli_cores", 1'000},
                         {"memory_mib", 1'000},
                         {"accelerators", 0},
@@ -378,8 +378,11 @@
                         {"deadline_ms", 0},
                         {"payload", payload.dump()}});
     }
-    return m_caller.post(daemon.endpoint(), "/v1/jobs",
-                         {{"job", job}, {"team", "wire"}, {"tasks", list}});
+    json body{{"job", job}, {"team", "wire"}, {"tasks", list}};
+    if (!failureDomain.empty()) {
+        body["failure_domain"] = failureDomain;
+    }
+    return m_caller.post(daemon.endpoint(), "/v1/jobs", body);
 }
 
 void Cluster::waitFinished(const std::string &job, int tasks)
--- a/tests/failure/cluster.h
+++ b/tests/failure/cluster.h
@@ -121,9 +121,10 @@
     /// Number of tasks of @p shard in @p state as its holder reports it.
     int tasksInState(const std::string &shard, const std::string &state);
 
-    /// Submits a job of @p tasks equal tasks named JOB-t1... and returns the answer.
+    /// Submits a job of @p tasks equal tasks named JOB-t1... and returns the answer. The job stays
+    /// in @p failureDomain unless that is empty.
     Answer submitJob(const Daemon &daemon, const std::string &job, int tasks,
-                     const nlohmann::json &payload, const std::string &taskClass = "batch");
+                     const nlohmann::json &payload, const std::string &failureDomain = {});
     /// Waits until the workers' records say that every task of the job finished.
     void waitFinished(const std::string &job, int tasks);
 
--- /dev/null
+++ b/tests/failure/domains_test.cpp
@@ -0,0 +1,80 @@
+#include "failure/scenario.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <limits>
+#include <thread>
+
+using namespace acaciadeal;
+using namespace acaciadeal::failure_tests;
+using nlohmann::json;
+
+TEST_SUITE_BEGIN("domains");
+
+// Guards against starts, lost tasks and doubled tasks while a failure domain leaves and returns.
+TEST_CASE("G1 G2 G3 G4: a failure domain is taken out under load and returns")
+{
+    Cluster cluster({.daemonsPerDomain = 2});
+    const Daemon &daemon = *cluster.daemons().back();
+    const std::string domainRow = "domain/" + firstDomain;
+    std::atomic<bool> stopping{false};
+    std::atomic<int> jobs{0};
+    std::thread submitter([&] {
+        while (!stopping) {
+            submitAccepted(cluster, "load" + std::to_string(jobs), 4,
+                           {{"run_ms", 1'500}, {"checkpoint", true}});
+            ++jobs;
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    });
+    submitAccepted(cluster, "bound", 4, {{"run_ms", 30'000}, {"checkpoint", true}}, firstDomain);
+    waitUntil("the failure domain runs tasks",
+              [&] { return runsIn(cluster.records(), firstDomain); });
+    const Answer out = changeDomain(cluster, daemon, firstDomain, "out",
+                                    domainVersion(cluster, daemon, firstDomain));
+    CHECK(out.status == 200);
+    const std::int64_t outAt = cluster.lastWriteAt(domainRow);
+    REQUIRE(outAt > 0);
+    waitUntil("no task runs in the failure domain",
+              [&] { return !runsIn(cluster.records(), firstDomain); });
+    constexpr std::int64_t observed = 6'000'000;
+    waitUntil("starts would have been seen",
+              [&] { return cluster.records().now - outAt > observed; });
+
+    std::uint64_t version = 0;
+    waitUntil("the failure domain is in again", [&] {
+        version = domainVersion(cluster, daemon, firstDomain);
+        return changeDomain(cluster, daemon, firstDomain, "in", version).status == 200;
+    });
+    const std::int64_t inAt = cluster.lastWriteAt(domainRow);
+    waitUntil("the failure domain runs tasks again",
+              [&] { return runsIn(cluster.records(), firstDomain); });
+    stopping = true;
+    submitter.join();
+    for (int n = 0; n < jobs; ++n) {
+        cluster.waitFinished("load" + std::to_string(n), 4);
+    }
+    cluster.waitFinished("bound", 4);
+    CHECK(toText(lateStarts(cluster.records(), firstDomain, outAt, inAt)) == "");
+    checkTasks(cluster);
+}
+
+// Guards against one operator's change of a failure domain overwriting another's unseen.
+TEST_CASE("G4: two operators change the same failure domain")
+{
+    Cluster cluster({});
+    const Daemon &first = *cluster.daemons().front();
+    const Daemon &second = *cluster.daemons().back();
+    const std::uint64_t version = domainVersion(cluster, first, firstDomain);
+    Answer a;
+    Answer b;
+    std::thread other([&] { a = changeDomain(cluster, first, firstDomain, "out", version); });
+    b = changeDomain(cluster, second, firstDomain, "in", version);
+    other.join();
+    CHECK((a.status == 200) != (b.status == 200));
+    CHECK((a.status == 409) != (b.status == 409));
+    const json history = cluster.platform("/control/history?prefix=domain/" + firstDomain);
+    CHECK(history.at("writes").size() == 1);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/failure/requests_test.cpp
@@ -0,0 +1,119 @@
+#include "base/resultcode.h"
+#include "failure/scenario.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+using namespace acaciadeal::failure_tests;
+using nlohmann::json;
+
+namespace {
+
+std::vector<std::string> instanceNames(const Cluster &cluster)
+{
+    std::vector<std::string> names;
+    for (const HostRecord &host : cluster.hosts()) {
+        if (!host.service.empty()) {
+            names.push_back(host.host.value);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("requests");
+
+// Guards against truncated, lost and late answers reaching a caller as whole, or as another's.
+TEST_CASE("G5 G7: answers of the instances are truncated, lost and delayed")
+{
+    Cluster cluster({});
+    RequestLoad repeatable(cluster, {.prefix = "repeatable", .requestsPerThread = 0});
+    RequestLoad once(cluster, {.prefix = "once", .repeatable = false, .requestsPerThread = 0});
+    const auto instances = instanceNames(cluster);
+    for (const json &faults :
+         {json{{"truncate_next", 5}}, json{{"drop_next", 5}}, json{{"answer_delay_ms", 300}}}) {
+        cluster.changeHosts(instances, faults);
+        const int before = repeatable.answered() + once.answered();
+        waitUntil("the load goes on",
+                  [&] { return repeatable.answered() + once.answered() > before + 200; });
+        cluster.changeHosts(instances, {{"answer_delay_ms", 0}});
+    }
+    repeatable.stop();
+    once.stop();
+    const Records records = cluster.records();
+    CHECK(toText(foreignAnswers(repeatable.results())) == "");
+    CHECK(toText(foreignAnswers(once.results())) == "");
+    CHECK(toText(executedRefusals(once.results(), records)) == "");
+    CHECK(toText(repeatedExecutions(records, "once")) == "");
+    // A caller that insists gets no second execution either.
+    const Daemon &daemon = *cluster.daemons().back();
+    int unknown = 0;
+    for (const RequestResult &result : once.results()) {
+        if (result.answer.status != 200 && !result.refusedOnly) {
+            ++unknown;
+            callUntilFinal(cluster, daemon, result.id, result.body);
+        }
+    }
+    CHECK(unknown > 0);
+    CHECK(toText(repeatedExecutions(cluster.records(), "once")) == "");
+}
+
+// Guards against a late answer that no caller can fetch any more.
+TEST_CASE("G5 G7: a late answer is fetched by its id")
+{
+    Cluster cluster({});
+    const Daemon &daemon = *cluster.daemons().front();
+    cluster.changeHosts(instanceNames(cluster), {{"answer_delay_ms", 3'000}});
+    const json request =
+        requestBody(cluster, "late-1", false, "urgent", "the body of late-1", milliseconds(1'000));
+    const Answer first = cluster.caller().post(daemon.endpoint(), "/v1/requests", request);
+    CHECK(first.code() == static_cast<int>(ResultCode::OutcomeUnknown));
+    waitUntil("the late answer can be fetched", [&] {
+        const Answer late = cluster.caller().get(daemon.endpoint(), "/v1/requests/late-1");
+        return late.status == 200 && late.json().value("echo", "") == "the body of late-1";
+    });
+    CHECK(executionCounts(cluster.records()).at("late-1") == 1);
+}
+
+// Guards against requests that exceed the instances' slots being reported as not run after they
+// ran, or run after they were refused.
+TEST_CASE("G6 G7: the instances are full")
+{
+    Cluster cluster({});
+    cluster.changeHosts(instanceNames(cluster), {{"service_ms", 1'000}});
+    RequestLoad once(cluster, {.prefix = "once",
+                               .repeatable = false,
+                               .threads = 48,
+                               .requestTimeout = milliseconds(1'500),
+                               .requestsPerThread = 3});
+    once.join();
+    const Records records = cluster.records();
+    CHECK(toText(foreignAnswers(once.results())) == "");
+    CHECK(toText(executedRefusals(once.results(), records)) == "");
+    CHECK(toText(repeatedExecutions(records, "once")) == "");
+}
+
+// Guards against work for a backend server that is leaving while the host list still shows it.
+TEST_CASE("G8: a backend server leaves while the host list lags")
+{
+    Cluster cluster({.daemonsPerDomain = 2});
+    cluster.platform("/control/lag", {{"ms", 3'600'000}});
+    RequestLoad load(cluster, {.prefix = "load", .threads = 8, .requestsPerThread = 0});
+    waitUntil("the load runs", [&] { return load.answered() > 200; });
+    const std::string name = instanceNames(cluster).front();
+    cluster.platform("/control/condition", {{"host", name}, {"condition", "leaving"}});
+    cluster.changeHosts({name}, {{"leaving", true}});
+    const std::int64_t leftAt = cluster.records().now;
+    // "A few seconds" of the guarantee; the load has to go on well beyond it.
+    constexpr std::int64_t limitUs = 5'000'000;
+    waitUntil("the limit has passed under load",
+              [&] { return cluster.records().now - leftAt > 2 * limitUs; });
+    const int before = load.answered();
+    waitUntil("the load goes on", [&] { return load.answered() > before + 200; });
+    load.stop();
+    CHECK(toText(workAfterLeaving(cluster.records(), limitUs)) == "");
+    CHECK(toText(foreignAnswers(load.results())) == "");
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/failure/settings_test.cpp
@@ -0,0 +1,185 @@
+#include "base/resultcode.h"
+#include "failure/scenario.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <map>
+#include <thread>
+
+using namespace acaciadeal;
+using namespace acaciadeal::failure_tests;
+using nlohmann::json;
+
+namespace {
+
+/// Watches the settings version of every daemon in the background.
+class VersionWatch
+{
+public:
+    explicit VersionWatch(Cluster &cluster)
+        : m_thread([this, &cluster] {
+            while (!m_stopping) {
+                for (const auto &daemon : cluster.daemons()) {
+                    const json status = cluster.status(*daemon);
+                    if (status.contains("settings_version")) {
+                        take(daemon->name, status.at("settings_version").get<std::uint64_t>());
+                    }
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+        })
+    {
+    }
+
+    Violations stop()
+    {
+        m_stopping = true;
+        m_thread.join();
+        return m_violations;
+    }
+
+private:
+    void take(const std::string &daemon, std::uint64_t version)
+    {
+        std::uint64_t &newest = m_newest[daemon];
+        if (version < newest) {
+            m_violations.push_back("G10: " + daemon + " went back from version "
+                                   + std::to_string(newest) + " to " + std::to_string(version));
+        }
+        newest = version;
+    }
+
+    std::atomic<bool> m_stopping{false};
+    std::map<std::string, std::uint64_t> m_newest;
+    Violations m_violations;
+    std::thread m_thread;
+};
+
+bool inForceEverywhere(Cluster &cluster, const std::string &path, const json &value)
+{
+    return std::all_of(cluster.daemons().begin(), cluster.daemons().end(), [&](const auto &daemon) {
+        return settingOf(cluster, *daemon, path) == value;
+    });
+}
+
+/// Number of rows in the settings log, of which there is one for each accepted change.
+std::size_t acceptedChanges(Cluster &cluster)
+{
+    return cluster.platform("/control/history?prefix=settings/log/").at("writes").size();
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("settings");
+
+// Guards against one operator's change being lost under another's.
+TEST_CASE("G10: two operators write the same path")
+{
+    Cluster cluster({});
+    VersionWatch watch(cluster);
+    const std::string path = "/system/drain_rate";
+    for (std::uint64_t round = 0; round < 5; ++round) {
+        const int base = static_cast<int>(10 * round) + 100;
+        Answer a;
+        Answer b;
+        const std::string suffix = std::to_string(round);
+        std::thread other([&] {
+            a = putSetting(cluster, *cluster.daemons().front(), path, std::to_string(base + 1),
+                           round, "a" + suffix);
+        });
+        b = putSetting(cluster, *cluster.daemons().back(), path, std::to_string(base + 2), round,
+                       "b" + suffix);
+        other.join();
+        CAPTURE(a.body);
+        CAPTURE(b.body);
+        REQUIRE((a.status == 200) != (b.status == 200));
+        CHECK((a.status == 200 ? b : a).code() == static_cast<int>(ResultCode::VersionConflict));
+        const int accepted = a.status == 200 ? base + 1 : base + 2;
+        waitUntil("the accepted value is in force everywhere",
+                  [&] { return inForceEverywhere(cluster, path, accepted); });
+        CHECK(acceptedChanges(cluster) == round + 1);
+    }
+    CHECK(toText(watch.stop()) == "");
+}
+
+// Guards against a change of one path making the writer of another repeat its work.
+TEST_CASE("G10: two operators write neighbouring paths")
+{
+    Cluster cluster({});
+    VersionWatch watch(cluster);
+    for (std::uint64_t round = 0; round < 5; ++round) {
+        const std::string suffix = std::to_string(round);
+        Answer a;
+        Answer b;
+        std::thread other([&] {
+            a = putSetting(cluster, *cluster.daemons().front(), "/teams/wire/weight",
+                           std::to_string(round + 1), round, "a" + suffix, "wire-token");
+        });
+        b = putSetting(cluster, *cluster.daemons().back(), "/teams/boiler/weight",
+                       std::to_string(round + 11), round, "b" + suffix, "boiler-token");
+        other.join();
+        CAPTURE(a.body);
+        CAPTURE(b.body);
+        REQUIRE(a.status == 200);
+        REQUIRE(b.status == 200);
+        waitUntil("both values are in force everywhere", [&] {
+            return inForceEverywhere(cluster, "/teams/wire/weight", round + 1)
+                   && inForceEverywhere(cluster, "/teams/boiler/weight", round + 11);
+        });
+    }
+    CHECK(acceptedChanges(cluster) == 10);
+    // A team must not write another team's subtree.
+    const Answer denied = putSetting(cluster, *cluster.daemons().front(), "/teams/boiler/weight",
+                                     "1", 5, "denied", "wire-token");
+    CHECK(denied.code() == static_cast<int>(ResultCode::PermissionDenied));
+    CHECK(toText(watch.stop()) == "");
+}
+
+// Guards against a change that is applied twice or lost when the answer to its write is lost.
+TEST_CASE("G10: the answer to a settings write is lost")
+{
+    Cluster cluster({});
+    const Daemon &daemon = *cluster.daemons().front();
+    cluster.platform("/control/lose_answers", {{"count", 1}, {"prefix", "settings/"}});
+    Answer answer;
+    waitUntil("the write has a definite answer", [&] {
+        answer = putSetting(cluster, daemon, "/system/drain_rate", "33", 0, "write-1");
+        return answer.status == 200;
+    });
+    waitUntil("the value is in force everywhere",
+              [&] { return inForceEverywhere(cluster, "/system/drain_rate", 33); });
+    CHECK(acceptedChanges(cluster) == 1);
+    CHECK(putSetting(cluster, daemon, "/system/drain_rate", "33", 0, "write-1").status == 200);
+    CHECK(acceptedChanges(cluster) == 1);
+}
+
+// Guards against a restart or a peer with older settings bringing back an old value.
+TEST_CASE("G10: an accepted change outlives restarts, a cut and an outage")
+{
+    Cluster cluster({.daemonsPerDomain = 2});
+    const std::string path = "/system/drain_rate";
+    Daemon &cut = *cluster.daemons().front();
+    cluster.platform("/control/cut", {{"clients", {cut.name}}});
+    REQUIRE(putSetting(cluster, *cluster.daemons().back(), path, "41", 0, "w1").status == 200);
+    // The daemon that is cut off from the platform learns of the change from its peers.
+    waitUntil("the value is in force everywhere",
+              [&] { return inForceEverywhere(cluster, path, 41); });
+    cluster.platform("/control/cut", {{"clients", json::array()}});
+    REQUIRE(putSetting(cluster, cut, path, "42", 1, "w2").status == 200);
+    waitUntil("the value is in force everywhere",
+              [&] { return inForceEverywhere(cluster, path, 42); });
+    cluster.platform("/control/outage", {{"on", true}});
+    cut.process->kill();
+    cluster.startDaemon(cut);
+    waitUntil("the restarted daemon has the settings without the platform",
+              [&] { return settingOf(cluster, cut, path) == 42; });
+    CHECK(putSetting(cluster, cut, path, "43", 2, "w3").code()
+          == static_cast<int>(ResultCode::PlatformUnavailable));
+    cluster.platform("/control/outage", {{"on", false}});
+    waitUntil("the value is in force everywhere",
+              [&] { return inForceEverywhere(cluster, path, 42); });
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/failure/shutdown_test.cpp
@@ -0,0 +1,117 @@
+#include "failure/scenario.h"
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <sys/wait.h>
+
+using namespace acaciadeal;
+using namespace acaciadeal::failure_tests;
+using nlohmann::json;
+
+namespace {
+
+void terminateGracefully(Daemon &daemon)
+{
+    daemon.process->signal(SIGTERM);
+    waitUntil(daemon.name + " ended", [&] { return daemon.process->status().has_value(); });
+    const int status = *daemon.process->status();
+    CAPTURE(daemon.process->log());
+    REQUIRE(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == 0);
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("shutdown");
+
+// Guards against a shutdown that cuts off requests in progress.
+TEST_CASE("G5 G9: SIGTERM with requests in progress")
+{
+    Cluster cluster({});
+    Daemon &daemon = *cluster.daemons().front();
+    cluster.changeHosts({}, {{"service_ms", 3'000}});
+    constexpr int threads = 6;
+    const LoadOptions options{.threads = threads,
+                              .requestTimeout = milliseconds(20'000),
+                              .requestsPerThread = 1,
+                              .daemons = {daemon.name}};
+    LoadOptions repeatableOptions = options;
+    repeatableOptions.prefix = "repeatable";
+    LoadOptions onceOptions = options;
+    onceOptions.prefix = "once";
+    onceOptions.repeatable = false;
+    RequestLoad repeatable(cluster, repeatableOptions);
+    RequestLoad once(cluster, onceOptions);
+    waitUntil("all requests are in progress", [&] {
+        const Records records = cluster.records();
+        return std::count_if(records.executions.begin(), records.executions.end(),
+                             [](const ExecutionRow &row) {
+                                 return row.request.starts_with("once")
+                                        || row.request.starts_with("repeatable");
+                             })
+               >= 2 * threads;
+    });
+    terminateGracefully(daemon);
+    repeatable.join();
+    once.join();
+    for (const RequestLoad *const load : {&repeatable, &once}) {
+        CHECK(toText(foreignAnswers(load->results())) == "");
+        for (const RequestResult &result : load->results()) {
+            CAPTURE(result.id);
+            CAPTURE(result.answer.body);
+            CHECK(result.cutOff == 0);
+            CHECK(result.answer.status == 200);
+        }
+    }
+    CHECK(toText(repeatedExecutions(cluster.records(), "once")) == "");
+}
+
+// Guards against a replacement of entry hosts that callers or tasks notice.
+TEST_CASE("G2 G3 G5 G7 G9: every daemon is replaced one after another under load")
+{
+    Cluster cluster({.daemonsPerDomain = 2});
+    constexpr int tasks = 12;
+    submitAccepted(cluster, "long", tasks, {{"run_ms", 60'000}, {"checkpoint", true}});
+    RequestLoad repeatable(cluster, {.prefix = "repeatable", .requestsPerThread = 0});
+    RequestLoad once(cluster, {.prefix = "once", .repeatable = false, .requestsPerThread = 0});
+    int jobs = 0;
+    for (const auto &daemon : cluster.daemons()) {
+        const int before = repeatable.answered() + once.answered();
+        terminateGracefully(*daemon);
+        submitAccepted(cluster, "short" + std::to_string(++jobs), 4, {{"run_ms", 200}});
+        cluster.startDaemon(*daemon);
+        waitUntil("the load goes on", [&] {
+            return repeatable.answered() + once.answered() > before + 200
+                   && cluster.status(*daemon).value("members", 0)
+                          == static_cast<int>(cluster.daemons().size());
+        });
+    }
+    repeatable.stop();
+    once.stop();
+    for (int n = 1; n <= jobs; ++n) {
+        cluster.waitFinished("short" + std::to_string(n), 4);
+    }
+    cluster.waitFinished("long", tasks);
+    checkTasks(cluster);
+    const Records records = cluster.records();
+    CHECK(toText(repeatedExecutions(records, "once")) == "");
+    CHECK(toText(executedRefusals(once.results(), records)) == "");
+    for (const RequestLoad *const load : {&repeatable, &once}) {
+        CHECK(toText(foreignAnswers(load->results())) == "");
+        Violations cut;
+        for (const RequestResult &result : load->results()) {
+            if (result.cutOff > 0) {
+                cut.push_back("G9: " + result.id + " was cut off");
+            }
+        }
+        CHECK(toText(cut) == "");
+    }
+    for (const RequestResult &result : repeatable.results()) {
+        CAPTURE(result.id);
+        CAPTURE(result.answer.body);
+        CHECK((result.answer.status == 200 || result.refusedOnly));
+    }
+}
+
+TEST_SUITE_END();
