--- a/tests/failure/load.cpp
+++ b/tests/failure/load.cpp
@@ -147,7 +147,8 @@
     constexpr int maxAttempts = 100;
     constexpr auto pause = std::chrono::milliseconds(20);
     while (result.attempts < maxAttempts && result.answer.status == 0) {
-        const auto index = static_cast<std::size_t>(thread + number + result.attempts);
+        const auto index = static_cast<std::size_t>(thread) + static_cast<std::size_t>(number)
+                           + static_cast<std::size_t>(result.attempts);
         result.answer =
             m_cluster.caller().call(m_endpoints[index % m_endpoints.size()],
                                     {.method = "POST", .target = "/v1/requests", .body = body},
--- a/tests/failure/process.cpp
+++ b/tests/failure/process.cpp
@@ -22,6 +22,7 @@
     : m_logFile(logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command) {
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
--- a/tests/standins/standins_test.cpp
+++ b/tests/standins/standins_test.cpp
@@ -50,10 +50,15 @@
 TEST_CASE("the deployment files have the sizes of the design")
 {
     const std::string folder = ACACIADEAL_DEPLOYMENTS_DIR;
-    for (const auto &[name, workers, instances] :
+    for (const auto &[file, workers, instances] :
          {std::tuple{"small", 6, 6}, {"merrimack", 66, 65}, {"cooperative", 48, 50}}) {
+        const std::string name = file;
         CAPTURE(name);
-        const auto deployment = readDeployment(folder + "/" + name + ".json");
+        std::string path = folder;
+        path += "/";
+        path += name;
+        path += ".json";
+        const auto deployment = readDeployment(path);
         REQUIRE(deployment);
         CHECK(deployment->failureDomains.size() == 3);
         int workerCount = 0;
--- a/tests/standins/workersmain.cpp
+++ b/tests/standins/workersmain.cpp
@@ -286,7 +286,7 @@
                                           FaultyResponder respond) {
                 receive(loop, host, std::move(request), std::move(respond));
             });
-        const auto started = host.server->start();
+        auto started = host.server->start();
         if (!started) {
             return started;
         }
