Measure dueOrders() after all workers have answered

Cause: the benchmark measured the call while orders to all workers were in flight, which skips every worker early.

Change: the fake workers answer before the measurement.

--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -205,7 +205,7 @@
             propose(run.holder, run.now);
         }
         const double proposing = secondsSince(start);
-        dueOrders(run.holder, run.now);
+        run.exchange();
         start = Clock::now();
         for (int n = 0; n < rounds; ++n) {
             dueOrders(run.holder, run.now);
