Add class rules under pressure and exact gauges to the request path

Refusals no longer count among the latencies, where they would hide slow answers, and the gauges are also set when an attempt ends.

--- a/packages/daemon/requestservice.cpp
+++ b/packages/daemon/requestservice.cpp
@@ -107,7 +107,7 @@
     std::size_t forwards = 0;
     /// An attempt was handed over and its outcome is unknown, so "not run" would be untrue.
     bool mayHaveRun = false;
-    /// What to answer after the record has been released.
+    /// Set if the request is refused as not run.
     Error refusal;
 };
 
@@ -206,7 +206,8 @@
     void respond(Step &step, const PendingPtr &pending, HttpResponse response);
     void end(Step &step, const PendingPtr &pending);
     void completeDrain(Step &step, bool waitForRecords);
-    void publishGauges(Step &step);
+    void publishGauges();
+    void pumpAll(Step &step);
     bool isOut(const FailureDomainId &domain) const;
     std::vector<MemberInfo> forwardTargets();
 
@@ -465,7 +466,7 @@
         const PendingPtr &pending = queued.at(key.sequence);
         // An expired request is answered by its timer and must not be handed over any more.
         if (key.deadline <= now
-            || !mayTakeSlot(queue.limits, slotsInUse[service], slots, key.requestClass)) {
+            || !mayTakeSlot(queue, slotsInUse[service], slots, key.requestClass)) {
             continue;
         }
         const bool anyClosed = std::any_of(free.begin(), free.end(), [](const auto *instance) {
@@ -498,7 +499,19 @@
         dequeue(queue, service, key);
         queued.erase(key.sequence);
     }
-    publishGauges(step);
+    publishGauges();
+}
+
+void RequestService::Impl::pumpAll(Step &step)
+{
+    std::vector<ServiceId> services;
+    services.reserve(queue.waiting.size());
+    for (const auto &[service, keys] : queue.waiting) {
+        services.push_back(service);
+    }
+    for (const ServiceId &service : services) {
+        pump(step, service);
+    }
 }
 
 void RequestService::Impl::handOver(Step &step, const PendingPtr &pending, InstanceState &instance,
@@ -653,6 +666,7 @@
         fail(step, pending, outcomeUnknown(id, reason));
     }
     pump(step, pending->content.service);
+    publishGauges();
 }
 
 void RequestService::Impl::deliver(Step &step, const PendingPtr &pending, StoredAnswer answer)
@@ -835,13 +849,13 @@
                                            {"code", std::to_string(static_cast<int>(error.code))},
                                            {"reason", error.message}});
     });
+    pending->refusal = std::move(error);
     if (!pending->claim) {
-        respond(step, pending, withId(errorResponse(error), id));
+        respond(step, pending, withId(errorResponse(pending->refusal), id));
         end(step, pending);
         return;
     }
     pending->stage = Stage::Releasing;
-    pending->refusal = std::move(error);
     if (pending->refusal.code == ResultCode::DeadlineExpired) {
         respond(step, pending, withId(errorResponse(pending->refusal), id));
     }
@@ -877,14 +891,18 @@
     if (!pending->respond) {
         return;
     }
-    step.after([self = shared_from_this(), pending, response = std::move(response),
+    // Refusals are counted by code; among the latencies they would hide slow answers.
+    const bool isRefusal = pending->refusal.code != ResultCode::Ok;
+    step.after([self = shared_from_this(), pending, isRefusal, response = std::move(response),
                 responder = std::exchange(pending->respond, nullptr)] {
         const CallerRequest &content = pending->content;
-        self->context.metrics.observe(
-            "request_seconds",
-            {{"tenant", content.tenant},
-             {"class", std::string(requestClassName(content.requestClass))}},
-            std::chrono::steady_clock::now() - pending->arrival);
+        if (!isRefusal) {
+            self->context.metrics.observe(
+                "request_seconds",
+                {{"tenant", content.tenant},
+                 {"class", std::string(requestClassName(content.requestClass))}},
+                std::chrono::steady_clock::now() - pending->arrival);
+        }
         responder(response);
     });
 }
@@ -915,13 +933,10 @@
     }
 }
 
-void RequestService::Impl::publishGauges(Step &step)
+void RequestService::Impl::publishGauges()
 {
-    step.after([self = shared_from_this(), slots = attemptsInProgress,
-                retries = retriesLeft(retryBudget)] {
-        self->context.metrics.set("request_slots_in_use", {}, slots);
-        self->context.metrics.set("retry_budget", {}, retries);
-    });
+    context.metrics.set("request_slots_in_use", {}, attemptsInProgress);
+    context.metrics.set("retry_budget", {}, retriesLeft(retryBudget));
 }
 
 bool RequestService::Impl::isOut(const FailureDomainId &domain) const
@@ -955,7 +970,6 @@
     Impl::Step step(*m_impl);
     std::vector<InstanceInfo> instances;
     std::map<InstanceId, Endpoint> endpoints;
-    std::set<ServiceId> services;
     for (const HostRecord &host : hosts) {
         if (host.service.empty() || host.failureDomain != m_impl->context.settings.failureDomain) {
             continue;
@@ -967,7 +981,6 @@
                              .connections = host.connections,
                              .leaving = host.condition == HostCondition::Leaving});
         endpoints[id] = host.endpoint;
-        services.insert(host.service);
         // Another process took the name: what was learnt about the old one is void.
         if (const auto it = m_impl->endpoints.find(id);
             it != m_impl->endpoints.end() && it->second != host.endpoint) {
@@ -976,9 +989,7 @@
     }
     acaciadeal::setInstances(m_impl->table, instances);
     m_impl->endpoints = std::move(endpoints);
-    for (const ServiceId &service : services) {
-        m_impl->pump(step, service);
-    }
+    m_impl->pumpAll(step);
 }
 
 void RequestService::setMembers(const std::vector<MemberInfo> &members)
@@ -992,13 +1003,7 @@
     }
     m_impl->members = members;
     setSharers(m_impl->table, std::move(sharers));
-    std::set<ServiceId> services;
-    for (const auto &[service, keys] : m_impl->queue.waiting) {
-        services.insert(service);
-    }
-    for (const ServiceId &service : services) {
-        m_impl->pump(step, service);
-    }
+    m_impl->pumpAll(step);
 }
 
 void RequestService::setDomainStates(std::map<FailureDomainId, DomainCondition> states)
@@ -1007,6 +1012,32 @@
     m_impl->domainStates = std::move(states);
 }
 
+void RequestService::setClassRules(const ClassRules &rules)
+{
+    Impl::Step step(*m_impl);
+    m_impl->queue.rules = rules;
+    for (const RequestQueueKey &key : shedQueued(m_impl->queue)) {
+        const auto it = m_impl->queued.find(key.sequence);
+        const PendingPtr pending = it->second;
+        m_impl->queued.erase(it);
+        m_impl->refuse(step, pending,
+                       {ResultCode::Overloaded, "requests of this class are shed",
+                        std::string(requestClassName(key.requestClass))});
+    }
+    m_impl->pumpAll(step);
+}
+
+bool RequestService::isUnderPressure() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    const TimePoint now = std::chrono::steady_clock::now();
+    return std::any_of(m_impl->queued.begin(), m_impl->queued.end(), [now](const auto &entry) {
+        const PendingRequest &pending = *entry.second;
+        return pending.content.requestClass == RequestClass::Urgent
+               && hasWaitedHalf(pending.arrival, pending.deadline, now);
+    });
+}
+
 void RequestService::setLeaving(const std::set<std::string> &instances)
 {
     const std::lock_guard lock(m_impl->mutex);
--- a/packages/daemon/requestservice.h
+++ b/packages/daemon/requestservice.h
@@ -59,6 +59,13 @@
     /// Replaces the conditions of the failure domains; one that is not named is in.
     void setDomainStates(std::map<FailureDomainId, DomainCondition> states);
 
+    /// Sets what is given up under pressure, by request class. Queued requests of a class that is
+    /// shed are refused with Overloaded.
+    void setClassRules(const ClassRules &rules);
+
+    /// Returns whether an urgent request has waited in the queue for half of its limit.
+    bool isUnderPressure() const;
+
     /// Replaces the leaving instances that peers reported.
     void setLeaving(const std::set<std::string> &instances);
 
--- a/packages/daemon/requestservice_test.cpp
+++ b/packages/daemon/requestservice_test.cpp
@@ -84,11 +84,19 @@
         return adapter;
     }
 
+    /// Waits until every call made so far has been answered.
+    void waitForIdle()
+    {
+        std::promise<void> idle;
+        m_loop.post([&idle] { idle.set_value(); });
+        idle.get_future().wait();
+    }
+
     std::optional<RequestRecord> record(const std::string &id)
     {
         std::promise<Result<std::vector<Row>>> rows;
         m_inner.read({.keys = {recordKey({id})}},
-                     [&rows](Result<std::vector<Row>> result) { rows.set_value(result); });
+                     [&rows](const Result<std::vector<Row>> &result) { rows.set_value(result); });
         const auto result = rows.get_future().get();
         if (!result || result->empty()) {
             return std::nullopt;
@@ -307,7 +315,8 @@
 public:
     Daemon(FaultyPlatform &platform, const std::string &name, const FailureDomainId &domain,
            const RequestServiceOptions &options = {})
-        : m_settings{.daemon = {name}, .failureDomain = domain}
+        : m_platform(platform)
+        , m_settings{.daemon = {name}, .failureDomain = domain}
         , m_context{m_settings,      m_control,       m_traffic, platform.adapterFor(m_control),
                     m_controlClient, m_trafficClient, m_peers,   metrics,
                     m_router}
@@ -327,6 +336,8 @@
     {
         m_traffic.stop();
         m_control.stop();
+        // Callbacks that the platform has yet to post refer to the loops.
+        m_platform.waitForIdle();
     }
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
@@ -364,6 +375,7 @@
     std::atomic<int> forwardedHere = 0;
 
 private:
+    FaultyPlatform &m_platform;
     EventLoop m_control{{.threads = 1}};
     EventLoop m_traffic{{.threads = 2}};
     DaemonSettings m_settings;
@@ -386,6 +398,13 @@
             {"body", "content"}};
 }
 
+std::string numbered(int n)
+{
+    std::string id("r");
+    id += std::to_string(n);
+    return id;
+}
+
 ResultCode codeOf(const HttpResponse &response)
 {
     const json body = json::parse(response.body, nullptr, false);
@@ -400,6 +419,31 @@
            && response.headers.at("x-request-id") == id;
 }
 
+/// One daemon with one instance.
+struct OneInstance
+{
+    OneInstance()
+    {
+        daemon.requests().setInstances({instance.host()});
+    }
+
+    FaultyPlatform platform;
+    Daemon daemon{platform, "entry-0", home};
+    Instance instance{"host-0"};
+};
+
+/// One daemon with one instance that has a single slot and holds its requests.
+struct OneSlot : OneInstance
+{
+    OneSlot()
+    {
+        instance.behavior = Behavior::Hold;
+        HostRecord host = instance.host();
+        host.slots = 1;
+        daemon.requests().setInstances({host});
+    }
+};
+
 /// A host record with an endpoint that refuses connections.
 HostRecord closedHost()
 {
@@ -446,7 +490,7 @@
     Instance whole("whole");
     daemon.requests().setInstances({truncating.host(), whole.host()});
     for (int n = 0; n < 50; ++n) {
-        const std::string id = "r" + std::to_string(n);
+        const std::string id = numbered(n);
         CHECK(isWholeAnswer(daemon.post(request(id, true)).get(), id));
     }
     CHECK(truncating.received > 0);
@@ -463,13 +507,9 @@
 }
 
 // Guards against a caller receiving the answer to another caller's request.
-TEST_CASE("answers that arrive out of order reach their own callers")
+TEST_CASE_FIXTURE(OneInstance, "answers that arrive out of order reach their own callers")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
     instance.behavior = Behavior::Hold;
-    daemon.requests().setInstances({instance.host()});
     auto first = daemon.post(request("r1", true));
     auto second = daemon.post(request("r2", false));
     auto third = daemon.post(request("r3", true));
@@ -482,13 +522,9 @@
     CHECK(isWholeAnswer(third.get(), "r3"));
 }
 
-TEST_CASE("an answer that does not repeat the request's id is not passed on")
+TEST_CASE_FIXTURE(OneInstance, "an answer that does not repeat the request's id is not passed on")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
     instance.behavior = Behavior::AnswerOther;
-    daemon.requests().setInstances({instance.host()});
     CHECK(codeOf(daemon.post(request("r1", true)).get()) == ResultCode::BackendFailed);
     CHECK(codeOf(daemon.post(request("r2", false)).get()) == ResultCode::OutcomeUnknown);
 }
@@ -524,7 +560,7 @@
     CHECK(codeOf(daemon.post(request("refused", true)).get()) == ResultCode::NoInstance);
     daemon.requests().setInstances({marked, staying.host()});
     for (int n = 0; n < 20; ++n) {
-        const std::string id = "r" + std::to_string(n);
+        const std::string id = numbered(n);
         CHECK(isWholeAnswer(daemon.post(request(id, n % 2 == 0)).get(), id));
     }
     CHECK(leaving.received == before);
@@ -571,20 +607,16 @@
     busy.behavior = Behavior::RefuseAsNotRun;
     daemon.requests().setInstances({busy.host(), idle.host(), closedHost()});
     for (int n = 0; n < 10; ++n) {
-        const std::string id = "r" + std::to_string(n);
+        const std::string id = numbered(n);
         CHECK(isWholeAnswer(daemon.post(request(id, false)).get(), id));
     }
     CHECK(idle.runs == 10);
 }
 
 // Guards against a 503 of a non-repeatable request that ran being read as "not run".
-TEST_CASE("an error of the backend server is recorded as the answer")
+TEST_CASE_FIXTURE(OneInstance, "an error of the backend server is recorded as the answer")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
     instance.behavior = Behavior::FailInternally;
-    daemon.requests().setInstances({instance.host()});
     CHECK(codeOf(daemon.post(request("r1", false)).get()) == ResultCode::BackendFailed);
     CHECK(codeOf(daemon.post(request("r1", false)).get()) != ResultCode::Ok);
     platform.waitForState("r1", RecordState::Done);
@@ -694,12 +726,9 @@
 }
 
 // Guards against the id being blocked while the record of the abandoned attempt is being settled.
-TEST_CASE("a retry through the same daemon takes over a claim that was abandoned")
+TEST_CASE_FIXTURE(OneInstance,
+                  "a retry through the same daemon takes over a claim that was abandoned")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
-    daemon.requests().setInstances({instance.host()});
     platform.lostAnswers = 1;
     platform.downAfterLosses = true;
     auto response = daemon.post(request("r1", false, 200));
@@ -716,12 +745,9 @@
 
 // Guards against the platform's outage stopping work that does not need it, and against
 // non-repeatable requests running without a record.
-TEST_CASE("with the platform down repeatable requests are served and others are not run")
+TEST_CASE_FIXTURE(OneInstance,
+                  "with the platform down repeatable requests are served and others are not run")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
-    daemon.requests().setInstances({instance.host()});
     platform.down = true;
     CHECK(codeOf(daemon.post(request("r1", false)).get()) == ResultCode::PlatformUnavailable);
     CHECK(instance.received == 0);
@@ -735,13 +761,11 @@
 }
 
 // Guards against an answer being lost because the platform failed while the request ran.
-TEST_CASE("an answer that arrives while the platform is down is passed on and recorded later")
+TEST_CASE_FIXTURE(
+    OneInstance,
+    "an answer that arrives while the platform is down is passed on and recorded later")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
     instance.behavior = Behavior::Hold;
-    daemon.requests().setInstances({instance.host()});
     auto response = daemon.post(request("r1", false));
     instance.waitForReceived(1);
     platform.down = true;
@@ -755,13 +779,10 @@
 
 // Guards against an instance working for a caller who has given up, and against late answers being
 // dropped.
-TEST_CASE("the deadline is passed to the instance and a late answer can be fetched")
+TEST_CASE_FIXTURE(OneInstance,
+                  "the deadline is passed to the instance and a late answer can be fetched")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
     instance.behavior = Behavior::Hold;
-    daemon.requests().setInstances({instance.host()});
     bool repeatable = false;
     SUBCASE("repeatable")
     {
@@ -792,13 +813,9 @@
 }
 
 // Guards against a graceful shutdown cutting off a request or its record.
-TEST_CASE("draining refuses new requests and completes after the last one")
+TEST_CASE_FIXTURE(OneInstance, "draining refuses new requests and completes after the last one")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
     instance.behavior = Behavior::Hold;
-    daemon.requests().setInstances({instance.host()});
     auto filing = daemon.post(request("r1", false));
     auto check = daemon.post(request("r2", true));
     instance.waitForReceived(2);
@@ -829,15 +846,8 @@
 }
 
 // Guards against urgent requests waiting behind lower classes, and against a share being exceeded.
-TEST_CASE("urgent requests wait behind nothing of a lower class")
+TEST_CASE_FIXTURE(OneSlot, "urgent requests wait behind nothing of a lower class")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
-    instance.behavior = Behavior::Hold;
-    HostRecord host = instance.host();
-    host.slots = 1;
-    daemon.requests().setInstances({host});
     std::vector<std::future<HttpResponse>> responses;
     for (const char *const id : {"first", "batch", "normal", "urgent"}) {
         json content = request(id, true);
@@ -887,15 +897,8 @@
 }
 
 // Guards against a request being handed over after its deadline.
-TEST_CASE("a request whose deadline passes in the queue is not run")
+TEST_CASE_FIXTURE(OneSlot, "a request whose deadline passes in the queue is not run")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
-    instance.behavior = Behavior::Hold;
-    HostRecord host = instance.host();
-    host.slots = 1;
-    daemon.requests().setInstances({host});
     auto running = daemon.post(request("r1", true));
     CHECK(codeOf(daemon.post(request("r2", true, 50)).get()) == ResultCode::DeadlineExpired);
     instance.waitForReceived(1);
@@ -904,12 +907,8 @@
     CHECK(instance.received == 1);
 }
 
-TEST_CASE("the same id with other content is refused")
+TEST_CASE_FIXTURE(OneInstance, "the same id with other content is refused")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Instance instance("host-0");
-    daemon.requests().setInstances({instance.host()});
     CHECK(isWholeAnswer(daemon.post(request("r1", false)).get(), "r1"));
     platform.waitForState("r1", RecordState::Done);
     json other = request("r1", false);
@@ -984,9 +983,75 @@
     broken.behavior = Behavior::FailInternally;
     daemon.requests().setInstances({broken.host()});
     for (int n = 0; n < 3; ++n) {
-        CHECK(codeOf(daemon.post(request("r" + std::to_string(n), true)).get())
-              == ResultCode::BackendFailed);
+        CHECK(codeOf(daemon.post(request(numbered(n), true)).get()) == ResultCode::BackendFailed);
     }
     CHECK(codeOf(daemon.post(request("r3", true)).get()) == ResultCode::NoInstance);
     CHECK(broken.received == 3);
 }
+
+// Guards against batch work holding slots while urgent requests wait, when operators give it up.
+TEST_CASE_FIXTURE(OneSlot, "requests of a class that is shed are refused, queued ones as well")
+{
+    auto running = daemon.post(request("r1", true));
+    json batch = request("r2", true);
+    batch["class"] = "batch";
+    auto queued = daemon.post(batch);
+    daemon.requests().setClassRules({ClassRule::Admit, ClassRule::Hold, ClassRule::Shed});
+    CHECK(codeOf(queued.get()) == ResultCode::Overloaded);
+    CHECK(codeOf(daemon.post(batch).get()) == ResultCode::Overloaded);
+
+    auto held = daemon.post(request("r3", true));
+    json urgent = request("r4", true);
+    urgent["class"] = "urgent";
+    CHECK_FALSE(daemon.requests().isUnderPressure());
+    auto first = daemon.post(urgent);
+    instance.waitForReceived(1);
+    instance.finish("r1");
+    CHECK(instance.waitForReceived(2).back() == "r4");
+    instance.finish("r4");
+    CHECK(isWholeAnswer(first.get(), "r4"));
+    daemon.requests().setClassRules({});
+    instance.waitForReceived(3);
+    instance.finish("r3");
+    CHECK(isWholeAnswer(held.get(), "r3"));
+    CHECK(isWholeAnswer(running.get(), "r1"));
+}
+
+// Guards against retries without bound when all instances fail.
+TEST_CASE("retries stop when the budget is used up")
+{
+    FaultyPlatform platform;
+    Daemon daemon(platform, "entry-0", home,
+                  {.breaker = {.consecutiveFailures = 1000, .failuresOfTwenty = 1000},
+                   .retryBudget = {.requestsPerRetry = 10, .maxRetries = 2}});
+    Instance first("first");
+    Instance second("second");
+    first.behavior = Behavior::FailInternally;
+    second.behavior = Behavior::FailInternally;
+    daemon.requests().setInstances({first.host(), second.host()});
+    for (int n = 0; n < 20; ++n) {
+        CHECK(codeOf(daemon.post(request(numbered(n), true)).get()) == ResultCode::BackendFailed);
+    }
+    // The stock allows 2 retries, and 20 requests earn 2 more.
+    CHECK(first.received + second.received <= 20 + 2 + 2);
+    CHECK(first.received + second.received > 20);
+}
+
+// Guards against a shutdown that never ends while the platform is down.
+TEST_CASE("draining does not wait for the platform without end")
+{
+    FaultyPlatform platform;
+    Daemon daemon(platform, "entry-0", home, {.lateAnswerTime = milliseconds(100)});
+    Instance instance("host-0");
+    instance.behavior = Behavior::Hold;
+    daemon.requests().setInstances({instance.host()});
+    auto response = daemon.post(request("r1", false));
+    instance.waitForReceived(1);
+    platform.down = true;
+    instance.finish("r1");
+    CHECK(isWholeAnswer(response.get(), "r1"));
+    std::promise<void> drained;
+    daemon.requests().drain([&drained] { drained.set_value(); });
+    drained.get_future().wait();
+    CHECK(platform.record("r1")->state == RecordState::Started);
+}
--- a/packages/requests/admission.cpp
+++ b/packages/requests/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace acaciadeal {
 namespace {
@@ -47,7 +48,8 @@
 bool admits(const AdmissionQueue &queue, RequestClass requestClass)
 {
     const std::size_t index = indexOf(requestClass);
-    return queue.queuedByClass[index] < queue.limits.maxQueued[index]
+    return queue.rules[index] != ClassRule::Shed
+           && queue.queuedByClass[index] < queue.limits.maxQueued[index]
            && (totalQueued(queue) < queue.limits.maxQueuedTotal
                || hasLowerClass(queue, requestClass));
 }
@@ -81,17 +83,44 @@
     return true;
 }
 
-bool mayTakeSlot(const AdmissionLimits &limits, const SlotsByClass &used, std::uint32_t totalSlots,
+std::vector<RequestQueueKey> shedQueued(AdmissionQueue &queue)
+{
+    std::vector<std::pair<ServiceId, RequestQueueKey>> shed;
+    for (const auto &[service, keys] : queue.waiting) {
+        for (const RequestQueueKey &key : keys) {
+            if (queue.rules[indexOf(key.requestClass)] == ClassRule::Shed) {
+                shed.emplace_back(service, key);
+            }
+        }
+    }
+    std::vector<RequestQueueKey> result;
+    result.reserve(shed.size());
+    for (const auto &[service, key] : shed) {
+        dequeue(queue, service, key);
+        result.push_back(key);
+    }
+    return result;
+}
+
+bool hasWaitedHalf(TimePoint arrival, TimePoint deadline, TimePoint now)
+{
+    return now - arrival >= (deadline - arrival) / 2;
+}
+
+bool mayTakeSlot(const AdmissionQueue &queue, const SlotsByClass &used, std::uint32_t totalSlots,
                  RequestClass requestClass)
 {
+    if (queue.rules[indexOf(requestClass)] != ClassRule::Admit) {
+        return false;
+    }
     // A class counts together with the classes below it, so that normal and batch requests
     // together leave the reserve of the urgent ones alone.
     std::uint32_t usedBelow = 0;
     for (std::size_t n = indexOf(requestClass); n < requestClassCount; ++n) {
         usedBelow += used[n];
     }
-    const std::uint32_t allowed =
-        std::max<std::uint32_t>(1, totalSlots * limits.slotPercent[indexOf(requestClass)] / 100);
+    const std::uint32_t allowed = std::max<std::uint32_t>(
+        1, totalSlots * queue.limits.slotPercent[indexOf(requestClass)] / 100);
     return usedBelow < allowed;
 }
 
--- a/packages/requests/admission.h
+++ b/packages/requests/admission.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace acaciadeal {
 
@@ -26,6 +27,18 @@
     std::array<std::uint32_t, requestClassCount> slotPercent = {100, 90, 75};
 };
 
+/// What is done with the requests of a class while work is being given up under pressure.
+enum class ClassRule : std::uint8_t {
+    Admit,
+    /// Requests are queued but take no slot.
+    Hold,
+    /// Requests are refused, queued ones as well.
+    Shed,
+};
+
+/// Rules by class, in the order of RequestClass.
+using ClassRules = std::array<ClassRule, requestClassCount>;
+
 /// Position in the queue: class, then deadline, then arrival.
 struct RequestQueueKey
 {
@@ -40,6 +53,7 @@
 struct AdmissionQueue
 {
     AdmissionLimits limits;
+    ClassRules rules{};
     std::map<ServiceId, std::set<RequestQueueKey>> waiting;
     std::array<std::size_t, requestClassCount> queuedByClass{};
 };
@@ -62,11 +76,18 @@
 /// Removes a request. Returns whether it was queued.
 bool dequeue(AdmissionQueue &queue, const ServiceId &service, const RequestQueueKey &key);
 
+/// Removes all requests whose class is shed and returns them.
+std::vector<RequestQueueKey> shedQueued(AdmissionQueue &queue);
+
+/// Returns whether a queued request has waited for half of its limit. For an urgent request this is
+/// the sign of pressure. Thread-safe.
+bool hasWaitedHalf(TimePoint arrival, TimePoint deadline, TimePoint now);
+
 /// Slots of one service that are in use, by class.
 using SlotsByClass = std::array<std::uint32_t, requestClassCount>;
 
 /// Returns whether a request of @p requestClass may take one of @p totalSlots slots.
-bool mayTakeSlot(const AdmissionLimits &limits, const SlotsByClass &used, std::uint32_t totalSlots,
+bool mayTakeSlot(const AdmissionQueue &queue, const SlotsByClass &used, std::uint32_t totalSlots,
                  RequestClass requestClass);
 
 } // namespace acaciadeal
--- a/packages/requests/admission_test.cpp
+++ b/packages/requests/admission_test.cpp
@@ -70,13 +70,38 @@
 // Guards against lower classes occupying the slots that are reserved for urgent requests.
 TEST_CASE("slots are reserved for higher classes")
 {
-    const AdmissionLimits limits;
-    CHECK(mayTakeSlot(limits, {0, 0, 14}, 20, RequestClass::Batch));
-    CHECK_FALSE(mayTakeSlot(limits, {0, 0, 15}, 20, RequestClass::Batch));
-    CHECK(mayTakeSlot(limits, {0, 2, 15}, 20, RequestClass::Normal));
-    CHECK_FALSE(mayTakeSlot(limits, {0, 3, 15}, 20, RequestClass::Normal));
-    CHECK(mayTakeSlot(limits, {0, 3, 15}, 20, RequestClass::Urgent));
-    CHECK(mayTakeSlot(limits, {10, 0, 0}, 20, RequestClass::Batch));
+    const AdmissionQueue queue;
+    CHECK(mayTakeSlot(queue, {0, 0, 14}, 20, RequestClass::Batch));
+    CHECK_FALSE(mayTakeSlot(queue, {0, 0, 15}, 20, RequestClass::Batch));
+    CHECK(mayTakeSlot(queue, {0, 2, 15}, 20, RequestClass::Normal));
+    CHECK_FALSE(mayTakeSlot(queue, {0, 3, 15}, 20, RequestClass::Normal));
+    CHECK(mayTakeSlot(queue, {0, 3, 15}, 20, RequestClass::Urgent));
+    CHECK(mayTakeSlot(queue, {10, 0, 0}, 20, RequestClass::Batch));
     // A single slot is still usable by every class.
-    CHECK(mayTakeSlot(limits, {0, 0, 0}, 1, RequestClass::Batch));
+    CHECK(mayTakeSlot(queue, {0, 0, 0}, 1, RequestClass::Batch));
+}
+
+// Guards against work that is given up under pressure still taking slots or places in the queue.
+TEST_CASE("a class can be held in the queue or shed")
+{
+    AdmissionQueue queue;
+    const ServiceId other{"span-report"};
+    enqueue(queue, service, key(RequestClass::Normal, 1, 1));
+    enqueue(queue, service, key(RequestClass::Batch, 1, 2));
+    enqueue(queue, other, key(RequestClass::Batch, 1, 3));
+    queue.rules = {ClassRule::Admit, ClassRule::Hold, ClassRule::Shed};
+    CHECK(admits(queue, RequestClass::Normal));
+    CHECK_FALSE(mayTakeSlot(queue, {}, 8, RequestClass::Normal));
+    CHECK(mayTakeSlot(queue, {}, 8, RequestClass::Urgent));
+    CHECK_FALSE(admits(queue, RequestClass::Batch));
+    CHECK(shedQueued(queue).size() == 2);
+    CHECK(queue.queuedByClass == std::array<std::size_t, 3>{0, 1, 0});
+    CHECK(queue.waiting.size() == 1);
+}
+
+TEST_CASE("pressure begins at half of the limit")
+{
+    using std::chrono::seconds;
+    CHECK_FALSE(hasWaitedHalf(start, start + seconds(10), start + seconds(4)));
+    CHECK(hasWaitedHalf(start, start + seconds(10), start + seconds(5)));
 }
--- a/packages/requests/instancetable_test.cpp
+++ b/packages/requests/instancetable_test.cpp
@@ -15,6 +15,7 @@
 std::vector<DaemonId> daemons(int count)
 {
     std::vector<DaemonId> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n) {
         result.push_back({"entry-" + std::to_string(n)});
     }
@@ -27,6 +28,7 @@
     table.self = {"entry-0"};
     setSharers(table, daemons(daemonCount));
     std::vector<InstanceInfo> instances;
+    instances.reserve(static_cast<std::size_t>(instanceCount));
     for (int n = 0; n < instanceCount; ++n) {
         instances.push_back({{"host-" + std::to_string(n)}, service});
     }
