--- a/packages/daemon/requestservice_test.cpp
+++ b/packages/daemon/requestservice_test.cpp
@@ -432,6 +432,17 @@
     Instance instance{"host-0"};
 };
 
+/// Two daemons of one failure domain that share an instance.
+struct TwoDaemons : OneInstance
+{
+    TwoDaemons()
+    {
+        other.requests().setInstances({instance.host()});
+    }
+
+    Daemon other{platform, "entry-1", home};
+};
+
 /// One daemon with one instance that has a single slot and holds its requests.
 struct OneSlot : OneInstance
 {
@@ -625,14 +636,9 @@
 }
 
 // Guards against a certificate being issued twice because a write answer was lost.
-TEST_CASE("a non-repeatable request runs once over lost write answers and retries")
+TEST_CASE_FIXTURE(TwoDaemons,
+                  "a non-repeatable request runs once over lost write answers and retries")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Daemon other(platform, "entry-1", home);
-    Instance instance("host-0");
-    daemon.requests().setInstances({instance.host()});
-    other.requests().setInstances({instance.host()});
     SUBCASE("writes that did not take effect")
     {
         platform.lostRequests = 2;
@@ -657,15 +663,9 @@
 }
 
 // Guards against two daemons running the same request at the same time.
-TEST_CASE("a non-repeatable request that is sent many times at once runs once")
+TEST_CASE_FIXTURE(TwoDaemons, "a non-repeatable request that is sent many times at once runs once")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Daemon other(platform, "entry-1", home);
-    Instance instance("host-0");
     instance.behavior = Behavior::Hold;
-    daemon.requests().setInstances({instance.host()});
-    other.requests().setInstances({instance.host()});
     std::vector<std::future<HttpResponse>> responses;
     for (int n = 0; n < 10; ++n) {
         responses.push_back(daemon.post(request("r1", false)));
@@ -696,14 +696,9 @@
 }
 
 // Guards against a request being handed over after its caller was told that it was not run.
-TEST_CASE("a claim whose outcome stays unknown until the deadline hands nothing over")
+TEST_CASE_FIXTURE(TwoDaemons,
+                  "a claim whose outcome stays unknown until the deadline hands nothing over")
 {
-    FaultyPlatform platform;
-    Daemon daemon(platform, "entry-0", home);
-    Daemon other(platform, "entry-1", home);
-    Instance instance("host-0");
-    daemon.requests().setInstances({instance.host()});
-    other.requests().setInstances({instance.host()});
     SUBCASE("the writes took effect")
     {
         platform.lostAnswers = 1;
