Log settings rows that are not valid

A torn or absent row stopped the settings tree without a trace. It is now logged once as LogEntryRefused with its key, and a test shows that the tree stays before the row.

--- a/packages/daemon/settingsservice.cpp
+++ b/packages/daemon/settingsservice.cpp
@@ -175,6 +175,14 @@
     {
         if (result) {
             confirmedAt = std::chrono::steady_clock::now();
+            refusedRow.clear();
+        } else if (result.error().code != ResultCode::PlatformUnavailable
+                   && std::exchange(refusedRow, result.error().where) != result.error().where) {
+            // Logged once, although every poll meets the same row again.
+            logEvent(EventId::LogEntryRefused,
+                     {{"key", result.error().where},
+                      {"name", std::string(resultCodeName(result.error().code))},
+                      {"reason", result.error().message}});
         }
         reading = false;
         for (const RefreshCallback &done : std::exchange(served, {})) {
@@ -844,6 +852,8 @@
     std::optional<KnownRow> head;
     KnownRow snapshot;
     bool storingSnapshot = false;
+    /// Row at which reading stopped, if it was not valid.
+    std::string refusedRow;
     bool reading = false;
     std::vector<RefreshCallback> waiting;
     std::vector<RefreshCallback> served;
--- a/packages/daemon/settingsservice_test.cpp
+++ b/packages/daemon/settingsservice_test.cpp
@@ -292,6 +292,24 @@
           == static_cast<int>(ResultCode::PlatformUnavailable));
 }
 
+// Guards against a damaged or absent row being skipped, which would put daemons at different trees.
+TEST_CASE("a row that is not valid stops the tree before it")
+{
+    Fixture fixture;
+    Daemon &a = fixture.add();
+    REQUIRE(a.put(drain, "30", "0", "r1").get().status == 200);
+    std::promise<void> written;
+    fixture.platform.inner.commit(
+        {.puts = {{"settings/head", "3"}, {settingsLogKey(2), "torn"}}},
+        [&written](const Result<CommitVersions> &) { written.set_value(); });
+    written.get_future().get();
+    const int reads = fixture.platform.reads;
+    waitUntil([&] { return fixture.platform.reads > reads + 6; });
+    CHECK(a.service->version() == 1);
+    CHECK(codeOf(a.put(drain, "40", "1", "r2").get())
+          == static_cast<int>(ResultCode::PlatformUnavailable));
+}
+
 // Guards against a daemon without the platform staying at old settings, or skipping one.
 TEST_CASE("a daemon without the platform follows its peers")
 {
