--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -518,10 +518,30 @@
             }
             lines.push_back(std::move(row));
         }
-        print(json{{"lines", std::move(lines)}, {"refused", refused}}.dump());
+        if (m_line.json) {
+            print(json{{"lines", std::move(lines)}, {"refused", refused}}.dump());
+        } else {
+            printImport(lines, refused);
+        }
         return refused == 0 ? ExitCode::Success : ExitCode::FaultsFound;
     }
 
+    void printImport(const json &lines, std::size_t refused) const
+    {
+        for (const json &row : lines) {
+            m_environment.out << "line " << row["line"] << ": " << row["outcome"].get<std::string>()
+                              << "\n";
+            if (row.contains("reason")) {
+                m_environment.out << "  " << row["code"] << " " << row["reason"].get<std::string>()
+                                  << "\n";
+            }
+            for (const json &change : row.value("changes", json::array())) {
+                m_environment.out << "  " << change.get<std::string>() << "\n";
+            }
+        }
+        m_environment.out << "refused: " << refused << "\n";
+    }
+
     /// Writes one rule as a new setting. A rule that is in force already is left as it is; another
     /// one of the same name is not overwritten.
     void applyRule(ImportedLine &line) const
--- a/packages/ctl/ctl_test.cpp
+++ b/packages/ctl/ctl_test.cpp
@@ -239,6 +239,10 @@
     CHECK(report["lines"][0]["outcome"] == "in force");
     CHECK(report["lines"][3]["outcome"] == "refused");
     CHECK(report["refused"] == 1);
+    Session text;
+    CHECK(text.run({"alerts", "import", file.path.string()}) == ExitCode::FaultsFound);
+    CHECK(text.out.str().starts_with("line 1: in force\nline 2: in force\nline 3: in force\n"
+                                     "line 4: refused\n  9002 MalformedRule: "));
 
     Session apply;
     const std::string inForce = report["lines"][1]["rule"].dump();
