--- a/model/check.sh
+++ b/model/check.sh
@@ -16,6 +16,7 @@
 bound="-DSTART_WINDOW=1 -DLEASE=1 -DOUTAGE_LEASE=2 -DAUTONOMY=1 -DMAX_TIME=2 -DMAX_FAULTS=0 -DOUTAGE"
 domain="-DMAX_EPOCH=1 -DMAX_DOMAIN=2 -DMAX_TIME=3 -DWORKERS=1 -DMAX_ORDERS=3 -DEVICTION -DOUTAGE"
 single="-DMAX_EPOCH=1 -DMAX_TIME=3 -DMAX_ORDERS=3 -DFINISH -DEVICTION"
+drift="$single -DMAX_LAG=1 -DMAX_FAULTS=0"
 restart="-DMAX_BOOTS=1 -DMAX_TIME=0"
 capacity="-DTASKS=2 -DWORKERS=1 -DMAX_TIME=1"
 
@@ -29,7 +30,11 @@
 shard|full: eviction|0|$single
 shard|full: worker restart|0|$restart
 shard|full: capacity|0|$capacity
-shard|full: clock drift|0|$single -DMAX_LAG=1 -DMAX_FAULTS=0
+shard|full: clock drift|0|$drift
+requests|full|0|
+settings|full|0|
+requests|witness: a retry after not run was answered|1|-DWITNESS
+settings|witness: both daemons reach the last version|1|-DWITNESS
 shard|witness: resumed after a takeover|1|$instant -DWITNESS
 shard|WITHOUT_OWNER_CHECK|1|$instant
 shard|WITHOUT_SEQUENCE_ABSENT_CHECK|1|$instant
@@ -46,6 +51,13 @@
 shard|WITHOUT_INCARNATION_DEDUPE|1|$single
 shard|WITHOUT_REPORT_SEQUENCE_CHECK|1|$single
 shard|WITHOUT_BOOT_IN_PERMIT|1|$restart
+shard|WITHOUT_DRIFT_ALLOWANCE|1|$drift
+requests|WITHOUT_REQUEST_RECORD|1|
+requests|WITHOUT_RECORD_ABSENT_CHECK|1|
+requests|WITHOUT_ROW_VERSION_CHECK|1|
+requests|WITHOUT_HANDED_OVER_CHECK|1|
+settings|WITHOUT_NEXT_VERSION_RULE|1|
+settings|WITHOUT_SETTINGS_HEAD_CHECK|1|
 LIST
 }
 
--- a/model/shard.pml
+++ b/model/shard.pml
@@ -605,8 +605,13 @@
 }
 
 /* Latest end, on the holder's clock, of any lease that a run of task t at worker w can have. */
-#define autonomyOver(d) (daemonClock(d) >= holder[d].claimedAt + AUTONOMY + 2 * MAX_LAG)
-#define ownLeaseOver(d, w) (daemonClock(d) >= holder[d].worker[w].leaseBound + MAX_LAG)
+#ifdef WITHOUT_DRIFT_ALLOWANCE
+#define ALLOWANCE 0
+#else
+#define ALLOWANCE MAX_LAG
+#endif
+#define autonomyOver(d) (daemonClock(d) >= holder[d].claimedAt + AUTONOMY + 2 * ALLOWANCE)
+#define ownLeaseOver(d, w) (daemonClock(d) >= holder[d].worker[w].leaseBound + ALLOWANCE)
 #ifdef WITHOUT_AUTONOMY_WAIT
 #define lapsed(d, t, w) ownLeaseOver(d, w)
 #else
