Search takeovers with a domain taken out and with message faults over time

The takeover scopes had either ticks or message faults. Two more scopes combine them, and the rule that a new holder never sends its predecessor's start has a variant with a counterexample.

--- a/model/check.sh
+++ b/model/check.sh
@@ -14,6 +14,8 @@
 instant="-DMAX_TIME=0 -DMAX_FAULTS=1"
 short="-DSTART_WINDOW=0 -DLEASE=1 -DOUTAGE_LEASE=2 -DAUTONOMY=2 -DMAX_TIME=3 -DMAX_FAULTS=0 -DOUTAGE"
 bound="-DSTART_WINDOW=1 -DLEASE=1 -DOUTAGE_LEASE=2 -DAUTONOMY=1 -DMAX_TIME=2 -DMAX_FAULTS=0 -DOUTAGE"
+tick="-DSTART_WINDOW=0 -DLEASE=1 -DOUTAGE_LEASE=1 -DAUTONOMY=1 -DMAX_TIME=1 -DMAX_FAULTS=1"
+takeover_out="$tick -DMAX_DOMAIN=1"
 domain="-DMAX_EPOCH=1 -DMAX_DOMAIN=2 -DMAX_TIME=3 -DWORKERS=1 -DMAX_ORDERS=3 -DEVICTION -DOUTAGE"
 single="-DMAX_EPOCH=1 -DMAX_TIME=3 -DMAX_ORDERS=3 -DFINISH -DEVICTION"
 drift="$single -DMAX_LAG=1 -DMAX_FAULTS=0"
@@ -26,6 +28,8 @@
 shard|full: takeover, messages|0|$instant
 shard|full: takeover, time|0|$short
 shard|full: takeover, lease bound|0|$bound
+shard|full: takeover, messages and time|0|$tick
+shard|full: takeover, domain taken out|0|$takeover_out
 shard|full: failure domain|0|$domain
 shard|full: eviction|0|$single
 shard|full: worker restart|0|$restart
@@ -47,6 +51,7 @@
 shard|WITHOUT_DOMAIN_CHECK|1|$domain
 shard|WITHOUT_PERMIT_AGE_CHECK|1|$domain
 shard|WITHOUT_PERMIT_BEFORE_APPEND|1|$domain
+shard|WITHOUT_OWN_START_CHECK|1|$takeover_out
 shard|WITHOUT_LEASE_FROM_ISSUE|1|$single
 shard|WITHOUT_INCARNATION_DEDUPE|1|$single
 shard|WITHOUT_REPORT_SEQUENCE_CHECK|1|$single
--- a/model/requests.pml
+++ b/model/requests.pml
@@ -89,6 +89,7 @@
   clearWrite(current)
 }
 
+/* Prepares the write of the row's new state on top of the expected version. */
 inline prepare(d, newState, expected) {
   daemon[d].write.used = 1; daemon[d].write.state = newState;
   daemon[d].write.version = expected; daemon[d].write.attempt = daemon[d].attempt
@@ -148,7 +149,8 @@
      faults++; copyWrite(current, daemon[d].write); commitWrite(); ok = 0 }
   :: d_step { daemon[d].write.used && faults < MAX_FAULTS ->
      faults++; copyWrite(delayed[d], daemon[d].write) }
-  :: d_step { delayed[d].used -> copyWrite(current, delayed[d]); commitWrite(); clearWrite(delayed[d]); ok = 0 }
+  :: d_step { delayed[d].used ->
+     copyWrite(current, delayed[d]); commitWrite(); clearWrite(delayed[d]); ok = 0 }
   :: d_step { delayed[d].used && faults < MAX_FAULTS ->
      faults++; copyWrite(current, delayed[d]); commitWrite(); ok = 0 }
   /* Hand-over: bytes were sent, or the connection was refused before the first byte. */
@@ -165,7 +167,8 @@
 #endif
   /* 503 with x-not-run: the instance did not run it and never will. */
   :: d_step { daemon[d].step == HANDED_OVER && atInstance[daemon[d].attempt] ->
-     atInstance[daemon[d].attempt] = 0; daemon[d].step = REFUSED; tellNotRun(d); prepare(d, NOT_RUN, daemon[d].version) }
+     atInstance[daemon[d].attempt] = 0; daemon[d].step = REFUSED; tellNotRun(d);
+     prepare(d, NOT_RUN, daemon[d].version) }
   /* Restart: everything but the row and the messages is forgotten. */
   :: d_step { daemon[d].step != IDLE && faults < MAX_FAULTS -> faults++; clearDaemon(d) }
   fi
--- a/model/shard.pml
+++ b/model/shard.pml
@@ -647,7 +647,8 @@
 inline proposePlacement(d, t, w) {
   d_step {
     holder[d].epoch != 0 && !holder[d].appendInFlight && holder[d].lastSequence < MAX_SEQUENCE &&
-    waiting(d, t) && mayUse(d, w) && holder[d].knownDomain % 2 == 0 && holder[d].worker[w].permit.known ->
+    waiting(d, t) && mayUse(d, w) && holder[d].knownDomain % 2 == 0 &&
+    holder[d].worker[w].permit.known ->
     do
     :: i < TASKS ->
        if :: holder[d].task[i].state == PLACED && holder[d].task[i].host == w -> n++ :: else fi;
@@ -740,7 +741,8 @@
 #else
 /* The last epoch of the run is never deposed, so its leases need no bound. */
 #define mayGrant(d, received, leaseTime) \
-  (holder[d].epoch == MAX_EPOCH || received + leaseTime <= holder[d].ownershipConfirmedAt + AUTONOMY)
+  (holder[d].epoch == MAX_EPOCH || \
+   received + leaseTime <= holder[d].ownershipConfirmedAt + AUTONOMY)
 #endif
 
 #define usePermit(p) orders.permitKnown = 1; orders.permitBoot = p.boot; \
@@ -778,6 +780,13 @@
   }
 }
 
+#ifdef WITHOUT_OWN_START_CHECK
+/* Sends a start that the predecessor appended, with a permit of its own. */
+#define ownStart(d, t) (true)
+#define WITHOUT_PERMIT_BEFORE_APPEND
+#else
+#define ownStart(d, t) (holder[d].task[t].own)
+#endif
 #ifdef WITHOUT_PERMIT_BEFORE_APPEND
 #define startPermit(d, t, w) holder[d].worker[w].permit
 #else
@@ -787,7 +796,7 @@
 inline orderStart(d, t, w, leaseTime) {
   d_step {
     mayOrder(d, w) && holder[d].task[t].state == PLACED && holder[d].task[t].host == w &&
-    holder[d].task[t].own && holder[d].task[t].ended == ABSENT && !holder[d].appendInFlight &&
+    ownStart(d, t) && holder[d].task[t].ended == ABSENT && !holder[d].appendInFlight &&
     startPermit(d, t, w).known &&
     mayGrant(d, startPermit(d, t, w).receivedAt, leaseTime) ->
     fillOrders(d, w, leaseTime);
