Say in the rolling replacement test whether a cut-off request was executed

A request that was cut off before the daemon read it is a different fault from one that was running; the number of executions tells them apart.

--- a/tests/failure/shutdown_test.cpp
+++ b/tests/failure/shutdown_test.cpp
@@ -95,6 +95,7 @@
     cluster.waitFinished("long", tasks);
     checkTasks(cluster);
     const Records records = cluster.records();
+    const auto counts = executionCounts(records);
     CHECK(toText(repeatedExecutions(records, "once")) == "");
     CHECK(toText(executedRefusals(once.results(), records)) == "");
     for (const RequestLoad *const load : {&repeatable, &once}) {
@@ -102,7 +103,11 @@
         Violations cut;
         for (const RequestResult &result : load->results()) {
             if (result.cutOff > 0) {
-                cut.push_back("G9: " + result.id + " was cut off");
+                const auto executed = counts.find(result.id);
+                cut.push_back("G9: " + result.id + " was cut off, executed "
+                              + std::to_string(executed == counts.end() ? 0 : executed->second)
+                              + " times in " + std::to_string(result.attempts)
+                              + " attempts, last status " + std::to_string(result.answer.status));
             }
         }
         CHECK(toText(cut) == "");
