Answer peers before a shutdown and announce it to peers and callers

Change: the peer server drains; a leaving daemon tells its peers first and is out until its next start; HTTP answers close their connections from then on, and refusals go on for a second before idle connections are closed.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -24,6 +24,9 @@
 /// Time after the start in which the other daemons of the failure domain learn of a newcomer and
 /// shrink their shares of the instances: two heartbeats.
 constexpr Duration shareDelay = std::chrono::seconds(2);
+/// Time in which a daemon that shuts down still refuses requests, so that callers with open
+/// connections turn to other daemons before their connections are closed.
+constexpr Duration lingerTime = std::chrono::seconds(1);
 constexpr Duration releaseTimeout = std::chrono::seconds(5);
 /// Silence after which a daemon of another failure domain claims a shard; the daemons of the
 /// shard's own domain get 30 s to do so first.
@@ -409,10 +412,21 @@
 void Daemon::shutDown()
 {
     Impl &impl = *m_impl;
+    // Peers stop forwarding requests to this daemon before it refuses any.
+    waitFor(impl.control, [&impl](std::function<void()> done) {
+        impl.members->announceLeave(std::move(done));
+    });
+    impl.httpServer->closeAfterAnswers();
     waitFor(impl.traffic,
             [&impl](std::function<void()> done) { impl.requests->drain(std::move(done)); });
+    // Callers that had sent a request meanwhile get its refusal rather than a closed connection.
+    waitFor(impl.traffic, [&impl](std::function<void()> done) {
+        impl.traffic.postAfter(lingerTime, std::move(done));
+    });
     waitFor(impl.traffic,
             [&impl](std::function<void()> done) { impl.httpServer->drain(std::move(done)); });
+    waitFor(impl.traffic,
+            [&impl](std::function<void()> done) { impl.peerServer->drain(std::move(done)); });
     // With the platform down the rows cannot be written; peers then notice the silence instead.
     auto released = std::make_shared<std::promise<void>>();
     impl.control.post([&impl, released] {
--- a/packages/daemon/memberservice.cpp
+++ b/packages/daemon/memberservice.cpp
@@ -58,6 +58,28 @@
     }
 }
 
+void MemberService::announceLeave(std::function<void()> done)
+{
+    m_leaving = true;
+    auto missing = std::make_shared<std::size_t>(1);
+    const auto finishOne = [missing, done = std::move(done)] {
+        if (--*missing == 0) {
+            done();
+        }
+    };
+    for (const MemberInfo &member : live()) {
+        if (member.daemon == m_list.self.daemon) {
+            continue;
+        }
+        ++*missing;
+        m_context.peers.call(member.peer, makeHeartbeat(), heartbeatTimeout,
+                             [this, finishOne](const Result<PeerMessage> &) {
+                                 m_context.control.post(finishOne);
+                             });
+    }
+    finishOne();
+}
+
 void MemberService::leave(std::function<void()> done)
 {
     m_leaving = true;
@@ -111,6 +133,11 @@
 void MemberService::take(const Heartbeat &heartbeat)
 {
     const TimePoint now = currentTime();
+    if (heartbeat.leaving) {
+        depart(m_list, heartbeat.sender, now);
+        publish();
+        return;
+    }
     if (hear(m_list, heartbeat.sender, now)) {
         logEvent(EventId::MemberJoined, {{"daemon", heartbeat.sender.daemon.value},
                                          {"failure_domain", heartbeat.sender.failureDomain.value}});
@@ -128,7 +155,8 @@
     return {.sender = m_list.self,
             .members = liveMembers(m_list, currentTime()),
             .leavingInstances = std::move(content.leavingInstances),
-            .settingsVersion = content.settingsVersion};
+            .settingsVersion = content.settingsVersion,
+            .leaving = m_leaving};
 }
 
 void MemberService::publish()
--- a/packages/daemon/memberservice.h
+++ b/packages/daemon/memberservice.h
@@ -40,7 +40,10 @@
     Heartbeat answer(const Heartbeat &heartbeat);
     /// Takes in daemons that the platform lists. Writes the own row if it is absent.
     void onListed(const std::vector<MemberInfo> &listed);
-    /// Removes the own row, so that peers learn of the shutdown early.
+    /// Tells all live members that this daemon is shutting down, and calls @p done once after each
+    /// has answered or timed out.
+    void announceLeave(std::function<void()> done);
+    /// Removes the own row, so that new daemons do not try to reach this one.
     void leave(std::function<void()> done);
 
     std::vector<MemberInfo> live() const;
--- a/packages/http/http_test.cpp
+++ b/packages/http/http_test.cpp
@@ -149,6 +149,19 @@
     drained.get_future().wait();
 }
 
+// Guards against a caller sending its next request on a connection that a shutdown closes.
+TEST_CASE("a server that will shut down says so in its answers")
+{
+    EventLoop loop({.threads = 2});
+    HttpServer server(loop, {.listen = {"127.0.0.1", 0}},
+                      [](const HttpRequest &, const HttpResponder &respond) { respond({}); });
+    REQUIRE(server.start());
+    server.closeAfterAnswers();
+    const auto outcome = call(loop, server.endpoint(), {});
+    REQUIRE(outcome.response.has_value());
+    CHECK(outcome.response->headers.at("connection") == "close");
+}
+
 TEST_CASE("query values are decoded")
 {
     CHECK(queryValue("/a?x=1&name=a%2Fb+c", "name") == "a/b c");
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -60,6 +60,7 @@
     std::set<Session *> sessions;
     std::size_t requestsInProgress = 0;
     bool draining = false;
+    bool closingAfterAnswers = false;
     std::function<void()> drained;
 };
 
@@ -210,10 +211,9 @@
 
 void Session::respond(HttpResponse response, bool keepAlive)
 {
-    bool draining = false;
     {
         const std::lock_guard lock(m_server->mutex);
-        draining = m_server->draining;
+        keepAlive = keepAlive && !m_server->closingAfterAnswers;
     }
     m_response = {};
     m_response.result(response.status);
@@ -221,12 +221,12 @@
         m_response.set(name, value);
     }
     m_response.body() = std::move(response.body);
-    m_response.keep_alive(keepAlive && !draining);
+    m_response.keep_alive(keepAlive);
     m_response.prepare_payload();
     m_stream.expires_after(m_server->options.idleTimeout);
     beast::http::async_write(
         m_stream, m_response,
-        [self = shared_from_this(), keepAlive = keepAlive && !draining](
+        [self = shared_from_this(), keepAlive](
             beast::error_code ec, std::size_t) { self->onWritten(ec, keepAlive); });
 }
 
@@ -294,8 +294,15 @@
     return {m_impl->options.listen.address, bound.port()};
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->closingAfterAnswers = true;
+}
+
 void HttpServer::drain(std::function<void()> done)
 {
+    closeAfterAnswers();
     asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
         beast::error_code ec;
         impl->acceptor.close(ec);
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -42,6 +42,11 @@
     /// Returns the bound endpoint; useful with port 0. Precondition: start() succeeded.
     Endpoint endpoint() const;
 
+    /// Closes each connection after its next answer, and says so in the answer. Callers with open
+    /// connections learn of a shutdown this way before drain() closes idle connections, on which
+    /// they may be about to send.
+    void closeAfterAnswers();
+
     /// Stops accepting connections, lets each request in progress finish, then calls @p done once.
     void drain(std::function<void()> done);
 
--- a/packages/membership/memberlist.cpp
+++ b/packages/membership/memberlist.cpp
@@ -20,7 +20,7 @@
         return nullptr;
     }
     if (inserted || member.incarnation > entry.info.incarnation) {
-        entry = {.info = member, .heardAt = std::nullopt, .knownAt = now, .contactedAt = {}};
+        entry = {.info = member, .heardAt = std::nullopt, .knownAt = now};
     }
     return &entry;
 }
@@ -40,6 +40,13 @@
     return joined;
 }
 
+void depart(MemberList &list, const MemberInfo &member, TimePoint now)
+{
+    if (MemberEntry *const entry = currentEntry(list, member, now)) {
+        entry->departed = true;
+    }
+}
+
 void mention(MemberList &list, const MemberInfo &member, TimePoint now)
 {
     currentEntry(list, member, now);
@@ -49,7 +56,7 @@
 {
     const Duration silence = isSameDomain(list, entry.info) ? list.options.silenceInDomain
                                                             : list.options.silenceBetweenDomains;
-    return entry.heardAt && now - *entry.heardAt < silence;
+    return !entry.departed && entry.heardAt && now - *entry.heardAt < silence;
 }
 
 std::vector<MemberInfo> liveMembers(const MemberList &list, TimePoint now)
@@ -75,6 +82,9 @@
         const Duration period = isSameDomain(list, entry.info)
                                     ? list.options.heartbeatInDomain
                                     : list.options.heartbeatBetweenDomains;
+        if (entry.departed) {
+            continue;
+        }
         if (!entry.contactedAt || now - *entry.contactedAt >= period) {
             entry.contactedAt = now;
             due.push_back(entry.info);
--- a/packages/membership/memberlist.h
+++ b/packages/membership/memberlist.h
@@ -30,6 +30,7 @@
     /// Last time it was heard, or first time it was mentioned.
     TimePoint knownAt;
     std::optional<TimePoint> contactedAt;
+    bool departed = false;
 };
 
 /// Other daemons as one daemon sees them. All times are of its own clock. Not thread-safe.
@@ -44,6 +45,10 @@
 /// ignored. Returns whether the daemon was not live before.
 bool hear(MemberList &list, const MemberInfo &member, TimePoint now);
 
+/// Takes in that @p member is shutting down. It is not live any more, whoever mentions it, until it
+/// is heard with a higher incarnation.
+void depart(MemberList &list, const MemberInfo &member, TimePoint now);
+
 /// Takes in a mention of @p member by a peer or by the platform. It is contacted, but counts as
 /// live only after it was heard.
 void mention(MemberList &list, const MemberInfo &member, TimePoint now);
--- a/packages/membership/memberlist_test.cpp
+++ b/packages/membership/memberlist_test.cpp
@@ -69,3 +69,19 @@
     CHECK(forgetSilent(list, start + seconds(121)).size() == 2);
     CHECK(list.others.empty());
 }
+
+// Guards against work being sent to a daemon that announced its shutdown, because a late message or
+// a mention brings it back.
+TEST_CASE("a daemon that is shutting down stays out until its next start")
+{
+    MemberList list = sampleList();
+    const TimePoint start{};
+    hear(list, member("b", "lowell-yard"), start);
+    depart(list, member("b", "lowell-yard"), start);
+    CHECK(liveMembers(list, start).size() == 1);
+    hear(list, member("b", "lowell-yard"), start);
+    mention(list, member("b", "lowell-yard"), start);
+    CHECK(liveMembers(list, start).size() == 1);
+    hear(list, member("b", "lowell-yard", 2), start);
+    CHECK(liveMembers(list, start).size() == 2);
+}
--- a/packages/wire/codec.cpp
+++ b/packages/wire/codec.cpp
@@ -54,7 +54,7 @@
         const auto memberVector = builder.CreateVector(members);
         const auto leaving = builder.CreateVectorOfStrings(heartbeat.leavingInstances);
         return {wire::Body::Heartbeat, wire::CreateHeartbeat(builder, sender, memberVector, leaving,
-                                                             heartbeat.settingsVersion)
+                                                             heartbeat.settingsVersion, heartbeat.leaving)
                                            .Union()};
     }
 
@@ -124,6 +124,7 @@
         }
     }
     heartbeat.settingsVersion = table.settings_version();
+    heartbeat.leaving = table.leaving();
     return heartbeat;
 }
 
--- a/packages/wire/message.h
+++ b/packages/wire/message.h
@@ -33,6 +33,8 @@
     std::vector<MemberInfo> members;
     std::vector<std::string> leavingInstances;
     std::uint64_t settingsVersion = 0;
+    /// Whether the sender is shutting down and takes no more work.
+    bool leaving = false;
 
     friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/packages/wire/peerserver.cpp
+++ b/packages/wire/peerserver.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
+#include <mutex>
 #include <utility>
 
 namespace acaciadeal {
@@ -30,12 +31,19 @@
     }
 
     void accept();
+    void messageReceived();
+    void messageSettled();
 
     EventLoop &loop;
     PeerServerOptions options;
     PeerHandler handler;
     FrameErrorHandler onFrameError;
     tcp::acceptor acceptor;
+
+    std::mutex mutex;
+    /// Messages whose answer has not been written yet.
+    std::size_t unanswered = 0;
+    std::function<void()> drained;
 };
 
 namespace {
@@ -90,6 +98,7 @@
             fail(envelope.error());
             return;
         }
+        m_server->messageReceived();
         m_server->handler(
             std::move(envelope->message),
             [self = shared_from_this(), correlation = envelope->correlation](PeerMessage answer) {
@@ -111,10 +120,12 @@
     {
         asio::async_write(m_socket, asio::buffer(m_outgoing.front()),
                           [self = shared_from_this()](error_code ec, std::size_t) {
+                              // After an error the answers that are left fail one by one.
+                              self->m_outgoing.pop_front();
+                              self->m_server->messageSettled();
                               if (ec) {
-                                  return;
+                                  self->m_socket.close(ec);
                               }
-                              self->m_outgoing.pop_front();
                               if (!self->m_outgoing.empty()) {
                                   self->write();
                               }
@@ -137,6 +148,27 @@
 
 } // namespace
 
+void PeerServer::Impl::messageReceived()
+{
+    const std::lock_guard lock(mutex);
+    ++unanswered;
+}
+
+void PeerServer::Impl::messageSettled()
+{
+    std::function<void()> done;
+    {
+        const std::lock_guard lock(mutex);
+        --unanswered;
+        if (unanswered == 0) {
+            done = std::exchange(drained, nullptr);
+        }
+    }
+    if (done) {
+        done();
+    }
+}
+
 void PeerServer::Impl::accept()
 {
     acceptor.async_accept(
@@ -193,6 +225,19 @@
     return {};
 }
 
+void PeerServer::drain(std::function<void()> done)
+{
+    {
+        const std::lock_guard lock(m_impl->mutex);
+        if (m_impl->unanswered > 0) {
+            m_impl->drained = std::exchange(done, nullptr);
+        }
+    }
+    if (done) {
+        done();
+    }
+}
+
 Endpoint PeerServer::endpoint() const
 {
     error_code ec;
--- a/packages/wire/peerserver.h
+++ b/packages/wire/peerserver.h
@@ -38,6 +38,10 @@
     /// Returns the bound endpoint. Precondition: start() succeeded.
     Endpoint endpoint() const;
 
+    /// Calls @p done once, as soon as every message received so far has been answered and the
+    /// answers have been written.
+    void drain(std::function<void()> done);
+
     /// Defined in the source file; public because the connections there refer to it.
     struct Impl;
 
--- a/packages/wire/wire_test.cpp
+++ b/packages/wire/wire_test.cpp
@@ -22,7 +22,7 @@
 std::vector<PeerMessage> sampleMessages()
 {
     return {
-        Heartbeat{sampleMember, {sampleMember}, {"instance-3"}, 42},
+        Heartbeat{sampleMember, {sampleMember}, {"instance-3"}, 42, true},
         SettingsFetch{17},
         SettingsEntries{{{18, "/teams/wire/quota", "{}", 2, {"wire"}, {"r-1"}}}},
         ForwardedRequest{
