Freeze a worker at a start, so that the start is really in flight

The test froze the workers before it submitted; the holder then had no permit, placed nothing, and the test hung until its limit. A worker can now freeze when orders with a start arrive. The test also waits until the late start was refused at the worker; it passes.

--- a/tests/failure/holder_test.cpp
+++ b/tests/failure/holder_test.cpp
@@ -111,17 +111,24 @@
         }
     }
     constexpr int tasks = 6;
-    cluster.changeHosts(workers, {{"frozen", true}});
+    cluster.changeHosts(workers, {{"freeze_at_start", true}});
     submitAccepted(cluster, "inflight", tasks, {{"run_ms", 500}}, firstDomain);
-    waitUntil("the tasks are placed and the workers hold orders", [&] {
+    waitUntil("a worker holds a start", [&] {
         const Records records = cluster.records();
-        const auto held = std::count_if(records.hosts.begin(), records.hosts.end(),
-                                        [](const HostRow &row) { return row.held > 0; });
-        return cluster.tasksInState(firstDomain, "placed") == tasks && held > 0;
+        return std::any_of(records.hosts.begin(), records.hosts.end(),
+                           [](const HostRow &row) { return row.held > 0; });
     });
+    CHECK(cluster.tasksInState(firstDomain, "placed") > 0);
     holder->process->kill();
     waitForSuccessor(cluster, firstDomain, *holder);
-    cluster.changeHosts(workers, {{"frozen", false}});
+    cluster.changeHosts(workers, {{"frozen", false}, {"freeze_at_start", false}});
+    // The late start has reached its worker and was refused there.
+    waitUntil("the worker refused the late start", [&] {
+        const Records records = cluster.records();
+        return std::any_of(records.hosts.begin(), records.hosts.end(), [](const HostRow &row) {
+            return row.stalePermits + row.staleOrders > 0;
+        });
+    });
     cluster.waitFinished("inflight", tasks);
     submitAccepted(cluster, "next", tasks, {{"run_ms", 100}}, firstDomain);
     cluster.waitFinished("next", tasks);
--- a/tests/standins/workersmain.cpp
+++ b/tests/standins/workersmain.cpp
@@ -32,6 +32,8 @@
     Worker worker;
     Instance instance;
     bool frozen = false;
+    /// Freezes the host when orders with a start arrive, so that the start is in flight.
+    bool freezesAtStart = false;
     /// Requests that arrived while the host was frozen; they are handled late, at the thaw.
     std::vector<std::function<void()>> held;
     std::unique_ptr<FaultyServer> server;
@@ -97,10 +99,20 @@
     }
 }
 
+bool containsStart(const HttpRequest &request)
+{
+    const auto orders = parseOrders(request.body);
+    return orders && !orders->starts.empty();
+}
+
 void receive(EventLoop &loop, PlayedHost &host, HttpRequest request, FaultyResponder respond)
 {
     {
         const std::lock_guard lock(host.mutex);
+        if (host.freezesAtStart && containsStart(request)) {
+            host.freezesAtStart = false;
+            host.frozen = true;
+        }
         if (host.frozen) {
             host.held.emplace_back(
                 [&loop, &host, request = std::move(request), respond = std::move(respond)] {
@@ -140,6 +152,7 @@
         // A restarted host has lost what it had received.
         host.held.clear();
     }
+    host.freezesAtStart = change.value("freeze_at_start", host.freezesAtStart);
     const bool fails = change.value("fail_everything", host.worker.failsEverything);
     host.worker.failsEverything = fails;
     host.worker.refusesStarts = change.value("refuse_starts", host.worker.refusesStarts);
