--- a/packages/daemon/settingsservice.cpp
+++ b/packages/daemon/settingsservice.cpp
@@ -175,6 +175,14 @@
     {
         if (result) {
             confirmedAt = std::chrono::steady_clock::now();
+            refusedRow.clear();
+        } else if (result.error().code != ResultCode::PlatformUnavailable
+                   && std::exchange(refusedRow, result.error().where) != result.error().where) {
+            // Logged once, although every poll meets the same row again.
+            logEvent(EventId::LogEntryRefused,
+                     {{"key", result.error().where},
+                      {"name", std::string(resultCodeName(result.error().code))},
+                      {"reason", result.error().message}});
         }
         reading = false;
         for (const RefreshCallback &done : std::exchange(served, {})) {
@@ -252,18 +260,19 @@
         }
         context.platform.read(
             {.prefix = logPrefix, .after = settingsLogKey(tree.version), .limit = rowsPerRead},
-            [self = shared_from_this(), newHead](const Result<std::vector<Row>> &rows) {
+            [self = shared_from_this(), newHead,
+             after = tree.version](const Result<std::vector<Row>> &rows) {
                 if (!rows) {
                     self->finishRead(tl::unexpected<Error>(rows.error()));
                     return;
                 }
-                self->onRows(newHead, *rows);
+                self->onRows(newHead, after, *rows);
             });
     }
 
-    void onRows(const KnownRow &newHead, const std::vector<Row> &rows)
+    /// @p after is the version of the tree when the rows were requested.
+    void onRows(const KnownRow &newHead, std::uint64_t after, const std::vector<Row> &rows)
     {
-        const std::uint64_t before = tree.version;
         SettingsEntries learned;
         for (const Row &row : rows) {
             const auto entry = decodeEntry(row.value);
@@ -286,7 +295,8 @@
             }
         }
         finishBatch(std::move(learned));
-        if (tree.version == before) {
+        // A peer may have moved the tree past the rows while they were read.
+        if (tree.version == after) {
             finishRead(failure(ResultCode::MissingEntry, "a settings row is absent",
                                settingsLogKey(tree.version + 1)));
             return;
@@ -844,6 +854,8 @@
     std::optional<KnownRow> head;
     KnownRow snapshot;
     bool storingSnapshot = false;
+    /// Row at which reading stopped, if it was not valid.
+    std::string refusedRow;
     bool reading = false;
     std::vector<RefreshCallback> waiting;
     std::vector<RefreshCallback> served;
