Keep single-use connections out of the pool, and close idle ones later

Cause: a fresh connection went into the idle pool after its answer, so that the pools of several daemons exceeded the 64 connections of an instance, which then closed connections with requests on them. Idle connections were closed at a shutdown while a caller was sending on them. Ruled out: instances that restart, and the peer connections, whose errors read differently.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -27,6 +27,9 @@
 /// Time in which a daemon that shuts down still refuses requests, so that callers with open
 /// connections turn to other daemons before their connections are closed.
 constexpr Duration lingerTime = std::chrono::seconds(1);
+/// At most one idle connection for each slot of an instance; nine daemons then stay within its 64
+/// connections, even before a newcomer's share is known everywhere.
+constexpr std::size_t idleConnectionsPerInstance = 7;
 constexpr Duration releaseTimeout = std::chrono::seconds(5);
 /// Silence after which a daemon of another failure domain claims a shard; the daemons of the
 /// shard's own domain get 30 s to do so first.
@@ -62,7 +65,7 @@
         , control({.threads = 1})
         , traffic({.threads = settings.trafficThreads})
         , controlClient(control, {})
-        , trafficClient(traffic, {.maxIdleConnectionsPerEndpoint = 64})
+        , trafficClient(traffic, {.maxIdleConnectionsPerEndpoint = idleConnectionsPerInstance})
         , peers(traffic)
         , metrics({})
     {
--- a/packages/http/http_test.cpp
+++ b/packages/http/http_test.cpp
@@ -162,6 +162,26 @@
     CHECK(outcome.response->headers.at("connection") == "close");
 }
 
+// Guards against single-use connections piling up until a backend server refuses further ones.
+TEST_CASE("a fresh connection is closed after its answer")
+{
+    EventLoop loop({.threads = 1});
+    std::promise<std::string> connection;
+    HttpServer server(loop, {.listen = {"127.0.0.1", 0}},
+                      [&connection](const HttpRequest &request, const HttpResponder &respond) {
+                          const auto it = request.headers.find("connection");
+                          connection.set_value(it == request.headers.end() ? "" : it->second);
+                          respond({});
+                      });
+    REQUIRE(server.start());
+    HttpClient client(loop, {});
+    std::promise<HttpOutcome> outcome;
+    client.send(server.endpoint(), {}, {.freshConnection = true},
+                [&outcome](HttpOutcome result) { outcome.set_value(std::move(result)); });
+    REQUIRE(outcome.get_future().get().response.has_value());
+    CHECK(connection.get_future().get() == "close");
+}
+
 TEST_CASE("query values are decoded")
 {
     CHECK(queryValue("/a?x=1&name=a%2Fb+c", "name") == "a/b c");
--- a/packages/http/httpclient.cpp
+++ b/packages/http/httpclient.cpp
@@ -112,7 +112,9 @@
             m_message.set(name, value);
         }
         m_message.body() = std::move(request.body);
-        m_message.keep_alive(true);
+        // A connection that is opened for one request must not add to the pool, or the pools of
+        // several daemons together exceed the connections of a backend server.
+        m_message.keep_alive(!options.freshConnection);
         m_message.prepare_payload();
 
         if (!options.freshConnection) {
@@ -196,7 +198,7 @@
         response.status = message.result_int();
         response.headers = internal::toHeaders(message);
         response.body = message.body();
-        if (message.keep_alive()) {
+        if (message.keep_alive() && m_message.keep_alive()) {
             m_stream->expires_never();
             m_pool->putIdle(m_endpoint, std::move(m_stream));
         }
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -50,6 +50,7 @@
     void accept();
     void requestStarted();
     void requestEnded();
+    void closeIdle(std::function<void()> done);
 
     EventLoop &loop;
     HttpServerOptions options;
@@ -110,6 +111,31 @@
                           });
 }
 
+void HttpServer::Impl::closeIdle(std::function<void()> done)
+{
+    // Outlives the lock, because the destructor of a session takes the same mutex.
+    std::vector<std::shared_ptr<Session>> open;
+    {
+        const std::lock_guard lock(mutex);
+        draining = true;
+        if (requestsInProgress > 0) {
+            drained = std::exchange(done, nullptr);
+        }
+        for (Session *const session : sessions) {
+            // A session that is being destroyed has expired and needs no closing.
+            if (auto alive = session->weak_from_this().lock()) {
+                open.push_back(std::move(alive));
+            }
+        }
+    }
+    for (const auto &session : open) {
+        session->closeIfIdle();
+    }
+    if (done) {
+        done();
+    }
+}
+
 void HttpServer::Impl::requestStarted()
 {
     const std::lock_guard lock(mutex);
@@ -257,7 +283,10 @@
 
 HttpServer::~HttpServer()
 {
-    drain([] {});
+    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
+        beast::error_code ec;
+        impl->acceptor.close(ec);
+    });
 }
 
 Result<void> HttpServer::start()
@@ -307,27 +336,8 @@
         beast::error_code ec;
         impl->acceptor.close(ec);
     });
-    // Outlives the lock, because the destructor of a session takes the same mutex.
-    std::vector<std::shared_ptr<Session>> open;
-    {
-        const std::lock_guard lock(m_impl->mutex);
-        m_impl->draining = true;
-        if (m_impl->requestsInProgress > 0) {
-            m_impl->drained = std::exchange(done, nullptr);
-        }
-        for (Session *const session : m_impl->sessions) {
-            // A session that is being destroyed has expired and needs no closing.
-            if (auto alive = session->weak_from_this().lock()) {
-                open.push_back(std::move(alive));
-            }
-        }
-    }
-    for (const auto &session : open) {
-        session->closeIfIdle();
-    }
-    if (done) {
-        done();
-    }
+    m_impl->loop.postAfter(m_impl->options.idleGrace,
+                           [impl = m_impl, done = std::move(done)] { impl->closeIdle(done); });
 }
 
 } // namespace acaciadeal
