--- a/packages/daemon/adminservice.cpp
+++ b/packages/daemon/adminservice.cpp
@@ -57,7 +57,7 @@
 std::string segmentAfter(const std::string &target, const std::string &prefix)
 {
     const std::string rest = pathOf(target).substr(prefix.size());
-    return rest.substr(0, rest.find('/'));
+    return percentDecoded(rest.substr(0, rest.find('/')));
 }
 
 bool isLocalOnly(const HttpRequest &request)
@@ -228,18 +228,17 @@
     const DomainView known = domain->second;
     collect({.target = "/v1/status"}, [name, known, respond](const MemberAnswers &answers) {
         const std::string state = known.row.in ? "in" : "out";
-        json daemons = json::array();
+        json unconfirmed = json::array();
         json tasksLeft;
         std::size_t requests = 0;
         for (const auto &[daemon, answer] : answers) {
             const json body = answer ? parseOr(answer->body, json::object()) : json::object();
-            const std::string seen =
-                body.contains("domains")
-                    ? body["domains"].value(name, json::object()).value("state", "")
-                    : "";
-            daemons.push_back({{"daemon", daemon.value},
-                               {"reachable", answer.has_value()},
-                               {"confirmed", seen == state}});
+            const json seen = body.value("domains", json::object()).value(name, json::object());
+            if (seen.value("state", "") != state
+                || seen.value("version", std::uint64_t{0}) < known.version) {
+                unconfirmed.push_back(
+                    {{"daemon", daemon.value}, {"reachable", answer.has_value()}});
+            }
             if (body.value("failure_domain", "") == name) {
                 requests += body.value("requests_in_progress", std::size_t{0});
             }
@@ -249,16 +248,22 @@
                 }
             }
         }
-        respond(jsonResponse(json{
-            {"failure_domain", name},
-            {"state", state},
-            {"version", known.version},
-            {"reason", known.row.reason},
-            {"changed_by", known.row.changedBy},
-            // Null while no reachable daemon holds the shard.
-            {"tasks_left", tasksLeft},
-            {"requests_in_progress", requests},
-            {"daemons", daemons}}.dump()));
+        if (tasksLeft.is_null()) {
+            respond(errorResponse(
+                {ResultCode::NotHolder, "no reachable daemon holds the shard", name}));
+            return;
+        }
+        respond(jsonResponse(json{{"failure_domain", name},
+                                  {"state", state},
+                                  {"version", known.version},
+                                  {"reason", known.row.reason},
+                                  {"changed_by", known.row.changedBy},
+                                  {"tasks_left", tasksLeft},
+                                  {"requests_in_progress", requests},
+                                  {"daemons", answers.size()},
+                                  {"daemons_confirmed", answers.size() - unconfirmed.size()},
+                                  {"unconfirmed", unconfirmed}}
+                                 .dump()));
     });
 }
 
@@ -377,7 +382,9 @@
                 unreachable.push_back(daemon.value);
                 continue;
             }
-            for (json &task : parseOr(answer->body, json::object())["tasks"]) {
+            // Named, because the range-based loop would not keep a temporary document alive.
+            json body = parseOr(answer->body, json::object());
+            for (json &task : body["tasks"]) {
                 tasks.push_back(std::move(task));
             }
         }
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -3,12 +3,14 @@
 #include "daemon/adminservice.h"
 #include "daemon/alertservice.h"
 #include "daemon/context.h"
+#include "daemon/holdersettings.h"
 #include "daemon/jobservice.h"
 #include "daemon/memberservice.h"
 #include "daemon/platformwatch.h"
 #include "daemon/requestservice.h"
 #include "daemon/settingsservice.h"
 #include "daemon/shardrunner.h"
+#include "embedded/workerserver.h"
 #include "http/httpserver.h"
 #include "kernel/pluginregistry.h"
 #include "logging/log.h"
@@ -106,6 +108,7 @@
     std::unique_ptr<JobService> jobs;
     std::unique_ptr<AdminService> admin;
     std::unique_ptr<AlertService> alerts;
+    std::unique_ptr<embedded::WorkerServer> worker;
     std::unique_ptr<HttpServer> httpServer;
     std::unique_ptr<PeerServer> peerServer;
     std::map<DaemonId, std::set<std::string>> leavingByPeer;
@@ -123,8 +126,17 @@
     if (!plugin->durable) {
         logEvent(EventId::EmbeddedPlatform, {{"adapter", settings.platformAdapter}});
     }
-    platform = plugin->create(
-        control, {.endpoint = settings.platformEndpoint, .timeout = settings.platformTimeout});
+    std::vector<HostRecord> hosts;
+    if (settings.embeddedWorker) {
+        worker = std::make_unique<embedded::WorkerServer>(control, settings.failureDomain);
+        if (auto started = worker->start(); !started) {
+            return started;
+        }
+        hosts.push_back(worker->record());
+    }
+    platform = plugin->create(control, {.endpoint = settings.platformEndpoint,
+                                        .timeout = settings.platformTimeout,
+                                        .hosts = std::move(hosts)});
     context.emplace(DaemonContext{.settings = settings,
                                   .control = control,
                                   .traffic = traffic,
@@ -241,6 +253,12 @@
 void Daemon::Impl::startServices()
 {
     control.post([this] {
+        settingsService->onChange([this](const std::shared_ptr<const SettingsTree> &tree) {
+            for (const auto &shard : shards) {
+                shard->applySettings(
+                    [&tree](HolderOptions &options) { applyHolderSettings(*tree, options); });
+            }
+        });
         watch->start([this] { onPlatformView(); });
         members->start();
         alerts->start();
@@ -416,9 +434,8 @@
 {
     Impl &impl = *m_impl;
     // Peers stop forwarding requests to this daemon before it refuses any.
-    waitFor(impl.control, [&impl](std::function<void()> done) {
-        impl.members->announceLeave(std::move(done));
-    });
+    waitFor(impl.control,
+            [&impl](std::function<void()> done) { impl.members->announceLeave(std::move(done)); });
     impl.httpServer->closeAfterAnswers();
     waitFor(impl.traffic,
             [&impl](std::function<void()> done) { impl.requests->drain(std::move(done)); });
--- a/packages/daemon/memberservice.cpp
+++ b/packages/daemon/memberservice.cpp
@@ -72,10 +72,9 @@
             continue;
         }
         ++*missing;
-        m_context.peers.call(member.peer, makeHeartbeat(), heartbeatTimeout,
-                             [this, finishOne](const Result<PeerMessage> &) {
-                                 m_context.control.post(finishOne);
-                             });
+        m_context.peers.call(
+            member.peer, makeHeartbeat(), heartbeatTimeout,
+            [this, finishOne](const Result<PeerMessage> &) { m_context.control.post(finishOne); });
     }
     finishOne();
 }
--- a/packages/daemon/rowkeys.cpp
+++ b/packages/daemon/rowkeys.cpp
@@ -100,7 +100,8 @@
     return json{{"epoch", row.epoch},
                 {"holder", row.holder.value},
                 {"claim", row.claimId},
-                {"released", row.released}}
+                {"released", row.released},
+                {"autonomy_ms", row.autonomy.count()}}
         .dump();
 }
 
@@ -136,6 +137,7 @@
         row.holder = {document.at("holder").get<std::string>()};
         row.claimId = document.at("claim").get<std::string>();
         row.released = document.at("released").get<bool>();
+        row.autonomy = milliseconds(document.at("autonomy_ms").get<std::int64_t>());
     });
 }
 
--- a/packages/daemon/rowkeys.h
+++ b/packages/daemon/rowkeys.h
@@ -3,6 +3,7 @@
 
 #include "base/error.h"
 #include "base/identifier.h"
+#include "base/time.h"
 
 #include <cstdint>
 #include <string>
@@ -37,6 +38,9 @@
     std::string claimId;
     /// Set by a graceful shutdown; the shard may be claimed at once.
     bool released = false;
+    /// Longest time that this holder lets leases run after its last confirmed ownership. A
+    /// successor has to wait by this value, because the setting may have changed since.
+    milliseconds autonomy{0};
 };
 
 /// Value of a failure domain's row. An absent row means that the domain is in.
--- a/packages/daemon/shardrunner.cpp
+++ b/packages/daemon/shardrunner.cpp
@@ -135,7 +135,7 @@
     claimShard(
         context.control, context.platform, shard, view.owner.value_or(OwnerRow{}),
         view.ownerVersion, context.settings.daemon, makeUniqueId(context.settings.daemon),
-        [self = shared_from_this()] { return !self->releasing; },
+        options.holder.autonomy, [self = shared_from_this()] { return !self->releasing; },
         [self = shared_from_this(), startedAt = currentTime()](const Result<Ownership> &result) {
             self->onClaimed(result, startedAt);
         });
@@ -193,6 +193,7 @@
     appendInFlight = false;
     const TimePoint now = currentTime();
     nextAppendAt = now;
+    options.holder.predecessorAutonomy = ownership.predecessorAutonomy;
     holder = makeHolder(options.holder, std::move(*state), ownership.epoch, now);
     holder->ownershipConfirmedAt = confirmedAt;
     phase = ShardPhase::Holding;
@@ -650,6 +651,18 @@
     control.postEvery(m_impl->options.inboxPeriod, [impl = m_impl] { impl->readInbox(); });
 }
 
+void ShardRunner::applySettings(const std::function<void(HolderOptions &)> &change)
+{
+    change(m_impl->options.holder);
+    if (m_impl->holder) {
+        // The owner row names the autonomy of this epoch; a change takes effect with the next
+        // claim.
+        const milliseconds autonomy = m_impl->holder->options.autonomy;
+        change(m_impl->holder->options);
+        m_impl->holder->options.autonomy = autonomy;
+    }
+}
+
 void ShardRunner::onPlatformView(TimePoint now)
 {
     m_impl->observeOwner(now);
@@ -672,7 +685,8 @@
         const OwnerRow row{.epoch = self->ownership.epoch,
                            .holder = self->context.settings.daemon,
                            .claimId = makeUniqueId(self->context.settings.daemon),
-                           .released = true};
+                           .released = true,
+                           .autonomy = self->holder->options.autonomy};
         self->phase = ShardPhase::Watching;
         // With an unknown outcome the row may not be marked; the shard is then claimed after the
         // usual silence.
--- a/packages/daemon/shardrunner.h
+++ b/packages/daemon/shardrunner.h
@@ -50,6 +50,8 @@
 
     /// Starts the timers.
     void start();
+    /// Applies changed settings to the options in use.
+    void applySettings(const std::function<void(HolderOptions &)> &change);
     /// Takes in what the platform watch has read.
     void onPlatformView(TimePoint now);
     /// Gives the shard back after the append in flight, then calls @p done once.
--- a/packages/daemon/shardstore.cpp
+++ b/packages/daemon/shardstore.cpp
@@ -125,20 +125,22 @@
 
 void claimShard(EventLoop &loop, const PlatformAdapter &platform, const ShardId &shard,
                 const OwnerRow &previous, std::uint64_t previousVersion, const DaemonId &daemon,
-                const std::string &claimId, std::function<bool()> keepTrying,
+                const std::string &claimId, milliseconds autonomy, std::function<bool()> keepTrying,
                 std::function<void(Result<Ownership>)> callback)
 {
-    const OwnerRow claim{.epoch = previous.epoch + 1, .holder = daemon, .claimId = claimId};
+    const OwnerRow claim{
+        .epoch = previous.epoch + 1, .holder = daemon, .claimId = claimId, .autonomy = autonomy};
     Transaction transaction{.checks = {{ownerKey(shard), previousVersion}},
                             .puts = {{ownerKey(shard), encode(claim)}, {aliveKey(shard), claimId}}};
-    commitDefinitely(loop, platform, std::move(transaction), ownerKey(shard),
-                     {.keepTrying = std::move(keepTrying)},
-                     [shard, epoch = claim.epoch,
-                      callback = std::move(callback)](const Result<CommitVersions> &versions) {
-                         callback(versions.map([&](const CommitVersions &written) {
-                             return Ownership{shard, epoch, written.at(ownerKey(shard))};
-                         }));
-                     });
+    commitDefinitely(
+        loop, platform, std::move(transaction), ownerKey(shard),
+        {.keepTrying = std::move(keepTrying)},
+        [shard, epoch = claim.epoch, predecessorAutonomy = previous.autonomy,
+         callback = std::move(callback)](const Result<CommitVersions> &versions) {
+            callback(versions.map([&](const CommitVersions &written) {
+                return Ownership{shard, epoch, written.at(ownerKey(shard)), predecessorAutonomy};
+            }));
+        });
 }
 
 void recoverShard(const PlatformAdapter &platform, const ShardId &shard,
--- a/packages/daemon/shardstore.h
+++ b/packages/daemon/shardstore.h
@@ -16,6 +16,8 @@
     std::uint64_t epoch = 0;
     /// Version of the owner row; checked by every write of the holder.
     std::uint64_t ownerVersion = 0;
+    /// Autonomy of the holder before.
+    milliseconds predecessorAutonomy{0};
 };
 
 struct ShardStoreOptions
@@ -27,11 +29,12 @@
 };
 
 /// Claims the shard: increments the epoch, conditional on the owner row that was read.
+/// @p autonomy is what the new holder will use.
 /// Errors: CheckFailed if another daemon was faster, PlatformUnavailable, WriteOutcomeUnknown.
 /// The functions of this header are called on the control thread, and call back on it.
 void claimShard(EventLoop &loop, const PlatformAdapter &platform, const ShardId &shard,
                 const OwnerRow &previous, std::uint64_t previousVersion, const DaemonId &daemon,
-                const std::string &claimId, std::function<bool()> keepTrying,
+                const std::string &claimId, milliseconds autonomy, std::function<bool()> keepTrying,
                 std::function<void(Result<Ownership>)> callback);
 
 /// Reads snapshot and log. Precondition: the shard was claimed, so that no older holder can append
--- a/tests/standins/worker.cpp
+++ b/packages/embedded/worker.cpp
@@ -1,11 +1,11 @@
-#include "standins/worker.h"
+#include "embedded/worker.h"
 
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace acaciadeal::standins {
+namespace acaciadeal::embedded {
 namespace {
 
 /// Longer than any lease that a holder grants (the autonomy time).
@@ -315,4 +315,4 @@
     return sum;
 }
 
-} // namespace acaciadeal::standins
+} // namespace acaciadeal::embedded
--- a/tests/standins/worker.h
+++ b/packages/embedded/worker.h
@@ -1,5 +1,5 @@
-#ifndef ACACIADEAL_STANDINS_WORKER_H
-#define ACACIADEAL_STANDINS_WORKER_H
+#ifndef ACACIADEAL_EMBEDDED_WORKER_H
+#define ACACIADEAL_EMBEDDED_WORKER_H
 
 #include "base/time.h"
 #include "scheduling/workermessage.h"
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace acaciadeal::standins {
+namespace acaciadeal::embedded {
 
 // Worker side of the lease protocol of docs/design.md, section 2.4. Pure: every function takes the
 // worker's own time. Not thread-safe.
@@ -125,6 +125,6 @@
 /// Sum of the sizes of the running tasks.
 Resources used(const Worker &worker);
 
-} // namespace acaciadeal::standins
+} // namespace acaciadeal::embedded
 
 #endif
--- a/tests/standins/worker_test.cpp
+++ b/packages/embedded/worker_test.cpp
@@ -1,9 +1,9 @@
-#include "standins/worker.h"
+#include "embedded/worker.h"
 
 #include <doctest/doctest.h>
 
 using namespace acaciadeal;
-using namespace acaciadeal::standins;
+using namespace acaciadeal::embedded;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/http/httprouter.cpp
+++ b/packages/http/httprouter.cpp
@@ -1,5 +1,6 @@
 #include "http/httprouter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -71,23 +72,6 @@
     out += '"';
 }
 
-std::string percentDecoded(const std::string &text)
-{
-    std::string result;
-    for (std::size_t n = 0; n < text.size(); ++n) {
-        unsigned value = 0;
-        if (text[n] == '%' && n + 2 < text.size()
-            && std::from_chars(text.data() + n + 1, text.data() + n + 3, value, 16).ptr
-                   == text.data() + n + 3) {
-            result += static_cast<char>(value);
-            n += 2;
-        } else {
-            result += text[n] == '+' ? ' ' : text[n];
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 Result<Endpoint> parseEndpoint(const std::string &text)
@@ -149,6 +133,23 @@
     best->handler(std::move(request), std::move(respond));
 }
 
+std::string percentDecoded(const std::string &text)
+{
+    std::string result;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        unsigned value = 0;
+        if (text[n] == '%' && n + 2 < text.size()
+            && std::from_chars(text.data() + n + 1, text.data() + n + 3, value, 16).ptr
+                   == text.data() + n + 3) {
+            result += static_cast<char>(value);
+            n += 2;
+        } else {
+            result += text[n];
+        }
+    }
+    return result;
+}
+
 std::string pathOf(const std::string &target)
 {
     return target.substr(0, target.find('?'));
@@ -163,7 +164,9 @@
         const std::string pair = target.substr(begin, end == std::string::npos ? end : end - begin);
         const auto equals = pair.find('=');
         if (pair.substr(0, equals) == name) {
-            return equals == std::string::npos ? "" : percentDecoded(pair.substr(equals + 1));
+            std::string value = equals == std::string::npos ? "" : pair.substr(equals + 1);
+            std::replace(value.begin(), value.end(), '+', ' ');
+            return percentDecoded(value);
         }
         begin = end;
     }
--- a/packages/http/httprouter.h
+++ b/packages/http/httprouter.h
@@ -31,6 +31,9 @@
     std::vector<HttpRoute> m_routes;
 };
 
+/// Replaces each %XX by its byte. Thread-safe.
+std::string percentDecoded(const std::string &text);
+
 /// Returns the path of @p target without its query. Thread-safe.
 std::string pathOf(const std::string &target);
 
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -252,8 +252,9 @@
     m_stream.expires_after(m_server->options.idleTimeout);
     beast::http::async_write(
         m_stream, m_response,
-        [self = shared_from_this(), keepAlive](
-            beast::error_code ec, std::size_t) { self->onWritten(ec, keepAlive); });
+        [self = shared_from_this(), keepAlive](beast::error_code ec, std::size_t) {
+            self->onWritten(ec, keepAlive);
+        });
 }
 
 void Session::onWritten(beast::error_code ec, bool keepAlive)
--- a/packages/platform/memoryplatform.cpp
+++ b/packages/platform/memoryplatform.cpp
@@ -19,9 +19,10 @@
     std::vector<HostRecord> hosts;
 };
 
-PlatformAdapter createMemoryPlatform(EventLoop &loop, const PlatformOptions &)
+PlatformAdapter createMemoryPlatform(EventLoop &loop, const PlatformOptions &options)
 {
     auto platform = std::make_shared<MemoryPlatform>();
+    platform->hosts = options.hosts;
     PlatformAdapter adapter;
     adapter.commit = [platform, &loop](const Transaction &transaction, CommitCallback callback) {
         const std::lock_guard lock(platform->mutex);
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -113,6 +113,8 @@
     /// Address of the platform; unused by the in-memory adapter.
     Endpoint endpoint;
     Duration timeout = std::chrono::seconds(3);
+    /// Host list of the in-memory adapter.
+    std::vector<HostRecord> hosts;
 };
 
 /// Plug-in that connects to a platform.
--- a/packages/scheduling/holder.cpp
+++ b/packages/scheduling/holder.cpp
@@ -272,10 +272,12 @@
     holder.claimedAt = now;
     holder.ownershipConfirmedAt = now;
     holder.drainedAt = now;
+    const milliseconds longest =
+        std::max(holder.options.autonomy, holder.options.predecessorAutonomy);
     for (const auto &[id, host] : holder.state.hosts) {
         WorkerView &view = holder.workers[id];
         if (!host.tasks.empty()) {
-            view.predecessorBound = now + withDrift(holder.options, holder.options.autonomy, 2);
+            view.predecessorBound = now + withDrift(holder.options, longest, 2);
         }
     }
     for (const auto &[id, task] : holder.state.tasks) {
--- a/packages/scheduling/holder.h
+++ b/packages/scheduling/holder.h
@@ -26,6 +26,8 @@
     milliseconds renewPeriod{5'000};
     /// Longest time after the last confirmed ownership until which leases may run.
     milliseconds autonomy{3'600'000};
+    /// Autonomy of the holder before this one, which may have run with other settings.
+    milliseconds predecessorAutonomy{0};
     /// How long a worker accepts a start after it issued the permit.
     milliseconds startWindow{3'000};
     /// Allowed difference between the rates of two clocks, in parts per million.
--- a/packages/scheduling/holder_test.cpp
+++ b/packages/scheduling/holder_test.cpp
@@ -379,6 +379,21 @@
     CHECK(released.at(0).reason == ReleaseReason::HostLost);
 }
 
+// Guards against G2 across a claim by a daemon whose settings name a shorter autonomy.
+TEST_CASE("after a claim the longer autonomy of the predecessor counts")
+{
+    Cell cell(2);
+    cell.accept({makeTask("a")});
+    cell.settle();
+    const TaskRun run = runOf(cell.task("a"));
+    cell.holder.options.autonomy = 60'000ms;
+    cell.holder.options.predecessorAutonomy = 3'600'000ms;
+    cell.claim();
+    const TimePoint claimedAt = cell.now;
+    CHECK_FALSE(provablyNotRunning(cell.holder, run, {"h1"}, claimedAt + 3'636'000ms));
+    CHECK(provablyNotRunning(cell.holder, run, {"h1"}, claimedAt + 3'636'001ms));
+}
+
 // Guards against a worker that answers a new holder once and is then taken for lapsed after one
 // normal lease, although its task still has the predecessor's longer lease.
 TEST_CASE("the predecessor's lease counts until the worker tells what remains of it")
--- a/packages/wire/codec.cpp
+++ b/packages/wire/codec.cpp
@@ -53,9 +53,10 @@
         const auto sender = packMember(builder, heartbeat.sender);
         const auto memberVector = builder.CreateVector(members);
         const auto leaving = builder.CreateVectorOfStrings(heartbeat.leavingInstances);
-        return {wire::Body::Heartbeat, wire::CreateHeartbeat(builder, sender, memberVector, leaving,
-                                                             heartbeat.settingsVersion, heartbeat.leaving)
-                                           .Union()};
+        return {wire::Body::Heartbeat,
+                wire::CreateHeartbeat(builder, sender, memberVector, leaving,
+                                      heartbeat.settingsVersion, heartbeat.leaving)
+                    .Union()};
     }
 
     PackedBody operator()(const SettingsFetch &fetch) const
--- a/tests/golden/session.cpp
+++ b/tests/golden/session.cpp
@@ -172,13 +172,13 @@
 {
     session.now += time;
     for (auto &[host, worker] : session.workers) {
-        standins::advance(worker, session.now);
+        embedded::advance(worker, session.now);
     }
 }
 
 void addWorker(Session &session, const std::string &host, const Resources &capacity)
 {
-    session.workers[{host}] = standins::makeWorker({.host = {host}, .capacity = capacity});
+    session.workers[{host}] = embedded::makeWorker({.host = {host}, .capacity = capacity});
 }
 
 std::uint64_t versionOf(const Session &session, const std::string &key)
@@ -263,7 +263,7 @@
     const auto received = decodeOrders(sent);
     REQUIRE(received);
     const std::string answer =
-        encodeReport(standins::onOrders(session.workers.at(host), *received, session.now));
+        encodeReport(embedded::onOrders(session.workers.at(host), *received, session.now));
     write(session, daemon + " <- " + host.value + " " + answer);
     if (fault == LinkFault::LoseReport) {
         write(session, "report lost");
@@ -303,10 +303,10 @@
 
 void writeRecords(Session &session)
 {
-    std::map<TaskId, std::vector<const standins::RunRecord *>> byTask;
+    std::map<TaskId, std::vector<const embedded::RunRecord *>> byTask;
     session.transcript += "# what the workers did\n";
     for (const auto &[host, worker] : session.workers) {
-        for (const standins::RunRecord &record : worker.records) {
+        for (const embedded::RunRecord &record : worker.records) {
             byTask[record.run.task].push_back(&record);
         }
         CHECK(fits(worker.peak, worker.options.capacity));
@@ -315,7 +315,7 @@
         std::sort(records.begin(), records.end(),
                   [](const auto *a, const auto *b) { return a->startedAt < b->startedAt; });
         for (std::size_t n = 0; n < records.size(); ++n) {
-            const standins::RunRecord &record = *records[n];
+            const embedded::RunRecord &record = *records[n];
             session.transcript +=
                 text(task, record.run.incarnation) + " on " + record.host.value + " from "
                 + std::to_string(millisOf(record.startedAt)) + " to "
--- a/tests/golden/session.h
+++ b/tests/golden/session.h
@@ -1,9 +1,9 @@
 #ifndef ACACIADEAL_GOLDEN_SESSION_H
 #define ACACIADEAL_GOLDEN_SESSION_H
 
+#include "embedded/worker.h"
 #include "platform/memorytable.h"
 #include "scheduling/holder.h"
-#include "standins/worker.h"
 
 #include <map>
 #include <string>
@@ -18,7 +18,7 @@
     ShardId shard{"lowell-yard"};
     TimePoint now{};
     MemoryTable table;
-    std::map<HostId, standins::Worker> workers;
+    std::map<HostId, embedded::Worker> workers;
     std::map<std::string, Holder> holders;
     /// Version of the owner row at the claim of each holder.
     std::map<std::string, std::uint64_t> ownerVersions;
--- a/tests/standins/workersmain.cpp
+++ b/tests/standins/workersmain.cpp
@@ -1,3 +1,4 @@
+#include "embedded/worker.h"
 #include "http/httprouter.h"
 #include "platform/codec.h"
 #include "runtime/eventloop.h"
@@ -5,7 +6,6 @@
 #include "standins/deployment.h"
 #include "standins/faultyserver.h"
 #include "standins/instance.h"
-#include "standins/worker.h"
 #include "standins/workerjson.h"
 
 #include <deque>
@@ -18,6 +18,7 @@
 #include <utility>
 
 using namespace acaciadeal;
+using namespace acaciadeal::embedded;
 using namespace acaciadeal::standins;
 using nlohmann::json;
 using std::chrono::steady_clock;
