--- a/packages/metrics/metrics.cpp
+++ b/packages/metrics/metrics.cpp
@@ -8,6 +8,7 @@
 #include <prometheus/text_serializer.h>
 #include <set>
 #include <sstream>
+#include <tbb/concurrent_hash_map.h>
 
 namespace acaciadeal {
 namespace {
@@ -25,6 +26,23 @@
     return result;
 }
 
+/// Series by name and labels. Traffic threads find their series here without a common lock.
+template<typename Metric>
+using SeriesCache = tbb::concurrent_hash_map<std::string, Metric *>;
+
+std::string seriesKey(const std::string &name, const MetricLabels &labels)
+{
+    constexpr char separator = '\x1f';
+    std::string key = name;
+    for (const auto &[label, value] : labels) {
+        key += separator;
+        key += label;
+        key += separator;
+        key += value;
+    }
+    return key;
+}
+
 } // namespace
 
 struct Metrics::Impl
@@ -33,22 +51,41 @@
     prometheus::Registry registry;
     std::mutex mutex;
     std::map<std::string, std::set<MetricLabels>> labelSets;
-    std::map<std::string, prometheus::Family<prometheus::Counter> *> counters;
-    std::map<std::string, prometheus::Family<prometheus::Gauge> *> gauges;
-    std::map<std::string, prometheus::Family<prometheus::Histogram> *> histograms;
+    std::map<std::string, prometheus::Family<prometheus::Counter> *> counterFamilies;
+    std::map<std::string, prometheus::Family<prometheus::Gauge> *> gaugeFamilies;
+    std::map<std::string, prometheus::Family<prometheus::Histogram> *> histogramFamilies;
+    SeriesCache<prometheus::Counter> counters;
+    SeriesCache<prometheus::Gauge> gauges;
+    SeriesCache<prometheus::Histogram> histograms;
 
-    // Precondition: the mutex is held.
-    MetricLabels bounded(const std::string &name, const MetricLabels &labels)
+    /// Returns whether the label set may have a series of its own. Precondition: the mutex is held.
+    bool admit(const std::string &name, const MetricLabels &labels)
     {
         std::set<MetricLabels> &known = labelSets[name];
-        if (known.contains(labels)) {
-            return labels;
-        }
-        if (known.size() >= options.maxSeriesPerMetric) {
-            return overflowLabels(labels);
+        if (!known.contains(labels) && known.size() >= options.maxSeriesPerMetric) {
+            return false;
         }
         known.insert(labels);
-        return labels;
+        return true;
+    }
+
+    /// Returns the series, which @p create makes under the mutex when it is new.
+    template<typename Metric, typename Create>
+    Metric &find(SeriesCache<Metric> &cache, const std::string &name, const MetricLabels &labels,
+                 const Create &create)
+    {
+        const std::string key = seriesKey(name, labels);
+        if (typename SeriesCache<Metric>::const_accessor it; cache.find(it, key)) {
+            return *it->second;
+        }
+        const std::lock_guard lock(mutex);
+        if (!admit(name, labels)) {
+            // Not cached, so that invented labels take no memory.
+            return create(overflowLabels(labels));
+        }
+        Metric &metric = create(labels);
+        cache.insert({key, &metric});
+        return metric;
     }
 };
 
@@ -62,32 +99,38 @@
 
 void Metrics::count(const std::string &name, const MetricLabels &labels, double amount)
 {
-    const std::lock_guard lock(m_impl->mutex);
-    auto &family = m_impl->counters[name];
-    if (family == nullptr) {
-        family = &prometheus::BuildCounter().Name(name).Register(m_impl->registry);
-    }
-    family->Add(m_impl->bounded(name, labels)).Increment(amount);
+    const auto create = [&](const MetricLabels &admitted) -> prometheus::Counter & {
+        auto &family = m_impl->counterFamilies[name];
+        if (family == nullptr) {
+            family = &prometheus::BuildCounter().Name(name).Register(m_impl->registry);
+        }
+        return family->Add(admitted);
+    };
+    m_impl->find(m_impl->counters, name, labels, create).Increment(amount);
 }
 
 void Metrics::set(const std::string &name, const MetricLabels &labels, double value)
 {
-    const std::lock_guard lock(m_impl->mutex);
-    auto &family = m_impl->gauges[name];
-    if (family == nullptr) {
-        family = &prometheus::BuildGauge().Name(name).Register(m_impl->registry);
-    }
-    family->Add(m_impl->bounded(name, labels)).Set(value);
+    const auto create = [&](const MetricLabels &admitted) -> prometheus::Gauge & {
+        auto &family = m_impl->gaugeFamilies[name];
+        if (family == nullptr) {
+            family = &prometheus::BuildGauge().Name(name).Register(m_impl->registry);
+        }
+        return family->Add(admitted);
+    };
+    m_impl->find(m_impl->gauges, name, labels, create).Set(value);
 }
 
 void Metrics::observe(const std::string &name, const MetricLabels &labels, Duration latency)
 {
-    const std::lock_guard lock(m_impl->mutex);
-    auto &family = m_impl->histograms[name];
-    if (family == nullptr) {
-        family = &prometheus::BuildHistogram().Name(name).Register(m_impl->registry);
-    }
-    family->Add(m_impl->bounded(name, labels), latencyBounds)
+    const auto create = [&](const MetricLabels &admitted) -> prometheus::Histogram & {
+        auto &family = m_impl->histogramFamilies[name];
+        if (family == nullptr) {
+            family = &prometheus::BuildHistogram().Name(name).Register(m_impl->registry);
+        }
+        return family->Add(admitted, latencyBounds);
+    };
+    m_impl->find(m_impl->histograms, name, labels, create)
         .Observe(std::chrono::duration<double>(latency).count());
 }
 
--- a/packages/metrics/metrics_test.cpp
+++ b/packages/metrics/metrics_test.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <string>
+#include <thread>
+#include <vector>
 
 using namespace acaciadeal;
 
@@ -28,3 +31,27 @@
     const std::string text = metrics.exposition();
     CHECK(text.find("request_seconds_sum{class=\"urgent\"} 6.7") != std::string::npos);
 }
+
+// Guards against lost or doubled counts when several threads meet a new series at once.
+TEST_CASE("counts of several threads add up")
+{
+    Metrics metrics({});
+    constexpr int threads = 4;
+    constexpr int counts = 1000;
+    {
+        std::vector<std::jthread> workers;
+        workers.reserve(threads);
+        for (int n = 0; n < threads; ++n) {
+            workers.emplace_back([&metrics] {
+                for (int k = 0; k < counts; ++k) {
+                    metrics.count("requests_total", {{"tenant", std::to_string(k % 7)}});
+                }
+            });
+        }
+    }
+    double sum = 0;
+    for (const MetricSample &sample : metrics.samples()) {
+        sum += sample.value;
+    }
+    CHECK(sum == threads * counts);
+}
