--- a/packages/platform/httpplatform.cpp
+++ b/packages/platform/httpplatform.cpp
@@ -4,16 +4,18 @@
 #include "platform/platform.h"
 
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace acaciadeal {
 namespace {
 
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotModified = 304;
 constexpr unsigned statusConflict = 409;
 
 /// Connection to a platform over HTTP.
-struct HttpPlatform
+struct HttpPlatform : std::enable_shared_from_this<HttpPlatform>
 {
     HttpPlatform(EventLoop &loop, const PlatformOptions &platformOptions)
         : options(platformOptions)
@@ -28,8 +30,15 @@
                     {.timeout = options.timeout}, std::move(callback));
     }
 
+    /// Reads the host list, or learns that it has not changed, which costs a few bytes only.
+    void listHosts(HostsCallback callback);
+    Result<std::vector<HostRecord>> takeHosts(HttpOutcome outcome);
+
     PlatformOptions options;
     HttpClient client;
+    std::mutex hostsMutex;
+    std::string hostsTag;
+    std::vector<HostRecord> hosts;
 };
 
 /// Returns the body of a successful read, or PlatformUnavailable.
@@ -46,6 +55,39 @@
     return std::move(outcome.response->body);
 }
 
+void HttpPlatform::listHosts(HostsCallback callback)
+{
+    HttpRequest request{.target = "/v1/hosts"};
+    {
+        const std::lock_guard lock(hostsMutex);
+        if (!hostsTag.empty()) {
+            request.headers["if-none-match"] = hostsTag;
+        }
+    }
+    client.send(options.endpoint, std::move(request), {.timeout = options.timeout},
+                [self = shared_from_this(), callback = std::move(callback)](HttpOutcome outcome) {
+                    callback(self->takeHosts(std::move(outcome)));
+                });
+}
+
+Result<std::vector<HostRecord>> HttpPlatform::takeHosts(HttpOutcome outcome)
+{
+    const std::lock_guard lock(hostsMutex);
+    if (outcome.response && outcome.response->status == statusNotModified) {
+        return hosts;
+    }
+    std::string tag;
+    if (outcome.response) {
+        tag = outcome.response->headers["etag"];
+    }
+    auto list = bodyOf(std::move(outcome)).and_then(decodeHosts);
+    if (list) {
+        hosts = *list;
+        hostsTag = std::move(tag);
+    }
+    return list;
+}
+
 Result<CommitVersions> commitResult(const HttpOutcome &outcome)
 {
     if (!outcome.response) {
@@ -101,11 +143,7 @@
                               });
     };
     adapter.listHosts = [platform](HostsCallback callback) {
-        platform->client.send(platform->options.endpoint, {.method = "GET", .target = "/v1/hosts"},
-                              {.timeout = platform->options.timeout},
-                              [callback = std::move(callback)](HttpOutcome outcome) {
-                                  callback(bodyOf(std::move(outcome)).and_then(decodeHosts));
-                              });
+        platform->listHosts(std::move(callback));
     };
     return adapter;
 }
--- a/tests/standins/platformmain.cpp
+++ b/tests/standins/platformmain.cpp
@@ -1,3 +1,4 @@
+#include "base/hash.h"
 #include "http/httprouter.h"
 #include "platform/codec.h"
 #include "platform/memorytable.h"
@@ -222,7 +223,13 @@
     return hosts;
 }
 
-void serveHosts(Program &program, FaultyResponder respond)
+std::string headerOf(const HttpRequest &request, const std::string &name)
+{
+    const auto it = request.headers.find(name);
+    return it == request.headers.end() ? "" : it->second;
+}
+
+void serveHosts(Program &program, const HttpRequest &request, FaultyResponder respond)
 {
     Duration wait(0);
     {
@@ -232,9 +239,14 @@
     }
     runLater(
         program, wait,
-        [](Program &p) {
-            return std::pair{jsonResponse(encodeHosts(visibleHosts(p, steady_clock::now()))),
-                             Delivery::Whole};
+        [known = headerOf(request, "if-none-match")](Program &p) {
+            HttpResponse response = jsonResponse(encodeHosts(visibleHosts(p, steady_clock::now())));
+            const std::string tag = "\"" + std::to_string(stableHash(response.body)) + "\"";
+            if (known == tag) {
+                response = {.status = 304};
+            }
+            response.headers["etag"] = tag;
+            return std::pair{response, Delivery::Whole};
         },
         std::move(respond));
 }
@@ -278,7 +290,7 @@
     } else if (path.starts_with("/v1/objects/")) {
         serveObject(program, request, std::move(respond));
     } else if (path == "/v1/hosts") {
-        serveHosts(program, std::move(respond));
+        serveHosts(program, request, std::move(respond));
     } else {
         respond(errorResponse({ResultCode::UnknownPath, "no such path", path}), Delivery::Whole);
     }
