--- a/packages/daemon/platformwatch.h
+++ b/packages/daemon/platformwatch.h
@@ -44,7 +44,7 @@
 
 struct PlatformWatchOptions
 {
-    Duration rowPeriod = milliseconds(500);
+    Duration rowPeriod = std::chrono::seconds(1);
     Duration listPeriod = std::chrono::seconds(1);
     Duration memberPeriod = std::chrono::seconds(5);
 };
