--- a/bench/load/load_test.cpp
+++ b/bench/load/load_test.cpp
@@ -132,5 +132,5 @@
         CHECK_MESSAGE(parseScenario(text).has_value(), entry.path().string());
         ++files;
     }
-    CHECK(files == 6);
+    CHECK(files == 7);
 }
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "http/httpserver.h"
 
 #include "http/internal/headers.h"
+#include "http/listener.h"
 #include "runtime/eventloop.h"
 
 #include <atomic>
@@ -292,26 +293,8 @@
 
 Result<void> HttpServer::start()
 {
-    beast::error_code ec;
-    const auto address = asio::ip::make_address(m_impl->options.listen.address, ec);
-    if (ec) {
-        return failure(ResultCode::ConnectionFailed, ec.message(),
-                       toString(m_impl->options.listen));
-    }
-    const tcp::endpoint endpoint(address, m_impl->options.listen.port);
-    m_impl->acceptor.open(endpoint.protocol(), ec);
-    if (!ec) {
-        m_impl->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.bind(endpoint, ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-        return failure(ResultCode::ConnectionFailed, ec.message(),
-                       toString(m_impl->options.listen));
+    if (auto opened = openListener(m_impl->acceptor, m_impl->options.listen); !opened) {
+        return opened;
     }
     m_impl->accept();
     return {};
--- a/packages/wire/peerserver.cpp
+++ b/packages/wire/peerserver.cpp
@@ -1,5 +1,6 @@
 #include "wire/peerserver.h"
 
+#include "http/listener.h"
 #include "runtime/eventloop.h"
 #include "wire/codec.h"
 
@@ -202,24 +203,8 @@
 
 Result<void> PeerServer::start()
 {
-    error_code ec;
-    const auto address = asio::ip::make_address(m_impl->options.listen.address, ec);
-    const tcp::endpoint endpoint(address, m_impl->options.listen.port);
-    if (!ec) {
-        m_impl->acceptor.open(endpoint.protocol(), ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.bind(endpoint, ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-        return failure(ResultCode::ConnectionFailed, ec.message(),
-                       toString(m_impl->options.listen));
+    if (auto opened = openListener(m_impl->acceptor, m_impl->options.listen); !opened) {
+        return opened;
     }
     m_impl->accept();
     return {};
--- a/tests/standins/faultyserver.cpp
+++ b/tests/standins/faultyserver.cpp
@@ -1,6 +1,7 @@
 #include "standins/faultyserver.h"
 
 #include "http/internal/headers.h"
+#include "http/listener.h"
 #include "runtime/eventloop.h"
 
 #include <atomic>
@@ -167,23 +168,8 @@
 
 Result<void> FaultyServer::start()
 {
-    beast::error_code ec;
-    const Endpoint &listen = m_impl->options.listen;
-    const tcp::endpoint endpoint(asio::ip::make_address(listen.address, ec), listen.port);
-    if (!ec) {
-        m_impl->acceptor.open(endpoint.protocol(), ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.bind(endpoint, ec);
-    }
-    if (!ec) {
-        m_impl->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
-        return failure(ResultCode::ConnectionFailed, ec.message(), toString(listen));
+    if (auto opened = openListener(m_impl->acceptor, m_impl->options.listen); !opened) {
+        return opened;
     }
     m_impl->accept();
     return {};
