Count a holder's silence only over reads that were made

Cause, found by reading: the time since the last change of the alive row was taken from the local clock, so that after a platform outage, in which no holder can renew its row, or after a pause of the sibling, every sibling claimed at once. The claims were safe, but each one makes unreachable workers' tasks wait for autonomy.

Change: the decision is a pure function over the times of successful reads; a failed read starts the wait anew.

--- a/packages/daemon/shardrunner.cpp
+++ b/packages/daemon/shardrunner.cpp
@@ -1,5 +1,6 @@
 #include "daemon/shardrunner.h"
 
+#include "daemon/claimwatch.h"
 #include "logging/log.h"
 #include "scheduling/workermessage.h"
 #include "state/codec.h"
@@ -37,7 +38,7 @@
     }
 
     // Ownership.
-    void observeOwner(TimePoint now);
+    void observeOwner();
     void claim(const OwnerView &view);
     void onClaimed(const Result<Ownership> &result, TimePoint startedAt);
     void recover();
@@ -79,8 +80,7 @@
     ShardRunnerOptions options;
 
     ShardPhase phase = ShardPhase::Watching;
-    std::uint64_t seenAliveVersion = 0;
-    std::optional<TimePoint> aliveChangedAt;
+    ClaimWatch claimWatch;
     Ownership ownership;
     std::optional<Holder> holder;
     TimePoint confirmedAt;
@@ -101,18 +101,17 @@
     std::function<void()> released;
 };
 
-void ShardRunner::Impl::observeOwner(TimePoint now)
+void ShardRunner::Impl::observeOwner()
 {
     const PlatformView &view = watch.view();
     const auto it = view.owners.find(shard);
-    if (it == view.owners.end() || !view.reachable) {
+    if (it == view.owners.end() || !view.readAt || !view.reachable) {
+        noteAliveUnread(claimWatch);
         return;
     }
     const OwnerView &row = it->second;
-    if (!aliveChangedAt || row.aliveVersion != seenAliveVersion) {
-        seenAliveVersion = row.aliveVersion;
-        aliveChangedAt = now;
-    }
+    const bool isSilent =
+        noteAliveRead(claimWatch, row.aliveVersion, *view.readAt, options.claimAfter);
     const bool isOwned = phase == ShardPhase::Recovering || phase == ShardPhase::Holding;
     if (isOwned && row.owner && row.owner->epoch > ownership.epoch) {
         lose("another daemon claimed the shard");
@@ -124,7 +123,7 @@
     // daemons of that domain come first.
     const bool ownDomain = shard.value == context.settings.failureDomain.value;
     const bool isFree = !row.owner || row.owner->released;
-    if ((ownDomain && isFree) || now - *aliveChangedAt >= options.claimAfter) {
+    if ((ownDomain && isFree) || isSilent) {
         claim(row);
     }
 }
@@ -145,7 +144,7 @@
 {
     if (!result) {
         phase = ShardPhase::Watching;
-        aliveChangedAt.reset();
+        noteAliveUnread(claimWatch);
         return;
     }
     ownership = *result;
@@ -207,7 +206,7 @@
         {{"shard", shard.value}, {"epoch", std::to_string(ownership.epoch)}, {"reason", reason}});
     phase = ShardPhase::Watching;
     holder.reset();
-    aliveChangedAt.reset();
+    noteAliveUnread(claimWatch);
     appendInFlight = false;
     snapshotInFlight = false;
     inbox.clear();
@@ -665,7 +664,7 @@
 
 void ShardRunner::onPlatformView(TimePoint now)
 {
-    m_impl->observeOwner(now);
+    m_impl->observeOwner();
     m_impl->applyPlatformView(now);
 }
 
