--- a/packages/daemon/adminservice.cpp
+++ b/packages/daemon/adminservice.cpp
@@ -60,6 +60,12 @@
     return percentDecoded(rest.substr(0, rest.find('/')));
 }
 
+/// An empty filter matches everything.
+bool matches(std::string_view value, std::string_view filter)
+{
+    return filter.empty() || value == filter;
+}
+
 bool isLocalOnly(const HttpRequest &request)
 {
     return queryValue(request.target, "local") == "1";
@@ -344,11 +350,15 @@
         collectTaskLists(request, respond);
         return;
     }
+    const std::string team = queryValue(request.target, "team");
+    const std::string state = queryValue(request.target, "state");
     json tasks = json::array();
     for (const auto &runner : m_shards) {
         if (const Holder *const holder = runner->holder()) {
             for (const auto &[id, task] : holder->state.tasks) {
-                tasks.push_back(toJson(task, runner->shard()));
+                if (matches(task.spec.team.value, team) && matches(stateName(task.state), state)) {
+                    tasks.push_back(toJson(task, runner->shard()));
+                }
             }
         }
     }
--- a/tests/failure/admin_test.cpp
+++ b/tests/failure/admin_test.cpp
@@ -30,6 +30,8 @@
         }
         return finished.size() == 6;
     });
+    const json filtered = cluster.caller().get(daemon.endpoint(), "/v1/tasks?state=queued").json();
+    CHECK(filtered["tasks"].empty());
     const auto describe = [&] {
         return cluster.caller().get(daemon.endpoint(), "/v1/domains/" + firstDomain);
     };
