Refuse the in-memory platform where a platform address is configured

Cause: the combination was accepted, and a deployment would have kept its data in one process.

Result: the new settings test fails without the check and passes with it.

--- a/packages/settings/daemonsettings.cpp
+++ b/packages/settings/daemonsettings.cpp
@@ -222,6 +222,12 @@
                     "the embedded worker needs the platform adapter \"memory\"",
                     "/embedded_worker");
     }
+    // Otherwise a slip in the adapter's name would keep a deployment's data in one process.
+    if (settings.platformAdapter == "memory" && settings.platformEndpoint.port != 0) {
+        reader.fail(ResultCode::IncompatibleSettings,
+                    "the adapter \"memory\" excludes the address of a platform",
+                    "/platform/endpoint");
+    }
     if (settings.httpListen == settings.peerListen && settings.httpListen.port != 0) {
         reader.fail(ResultCode::IncompatibleSettings,
                     "http_listen and peer_listen are the same address", "/peer_listen");
--- a/packages/settings/daemonsettings_test.cpp
+++ b/packages/settings/daemonsettings_test.cpp
@@ -82,3 +82,15 @@
     CHECK(embedded->embeddedWorker);
     CHECK(embedded->platformAdapter == "memory");
 }
+
+// Guards against a deployment that configures its platform and yet keeps everything in memory.
+TEST_CASE("the in-memory platform is refused where a real platform is configured")
+{
+    const std::string text = R"({"daemon":"d","deployment":"x","region":"r","failure_domain":"a",
+        "failure_domains":["a"],"http_listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
+        "platform":{"adapter":"memory","endpoint":"127.0.0.1:7100"}})";
+    const auto settings = parseDaemonSettings(text);
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().code == ResultCode::IncompatibleSettings);
+    CHECK(settings.error().where == "/platform/endpoint");
+}
