Make the alert rules' metric catalogue match what daemons export

Cause, found by reading: the catalogue listed labels and two metrics that no daemon exported. A rule on them was accepted and could never fire.

A test compares every exported series with the catalogue. It was written after the change and has not been run against the earlier code.

--- a/packages/daemon/memberservice.cpp
+++ b/packages/daemon/memberservice.cpp
@@ -174,7 +174,14 @@
         }
     }
     m_published = std::move(ids);
-    m_context.metrics.set("members", {}, static_cast<double>(members.size()));
+    for (const FailureDomainId &domain : m_context.settings.failureDomains) {
+        const auto n =
+            std::count_if(members.begin(), members.end(), [&domain](const MemberInfo &member) {
+                return member.failureDomain == domain;
+            });
+        m_context.metrics.set("members", {{"failure_domain", domain.value}},
+                              static_cast<double>(n));
+    }
     m_callbacks.onMembers(members);
 }
 
--- a/packages/daemon/requestservice.cpp
+++ b/packages/daemon/requestservice.cpp
@@ -936,7 +936,7 @@
 void RequestService::Impl::publishGauges()
 {
     context.metrics.set("request_slots_in_use", {}, attemptsInProgress);
-    context.metrics.set("retry_budget", {}, retriesLeft(retryBudget));
+    context.metrics.set("retry_budget_tokens", {}, retriesLeft(retryBudget));
 }
 
 bool RequestService::Impl::isOut(const FailureDomainId &domain) const
--- a/packages/daemon/shardrunner.cpp
+++ b/packages/daemon/shardrunner.cpp
@@ -6,6 +6,8 @@
 #include "state/codec.h"
 
 #include <algorithm>
+#include <array>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -24,6 +26,15 @@
     return daemon.value + "-" + std::to_string(engine());
 }
 
+/// Tasks of one class, for the metrics.
+struct TaskCounts
+{
+    int queued = 0;
+    int running = 0;
+    int late = 0;
+    Duration oldest{0};
+};
+
 } // namespace
 
 struct ShardRunner::Impl : std::enable_shared_from_this<ShardRunner::Impl>
@@ -65,9 +76,13 @@
     // Workers.
     void sendOrders(TimePoint now);
     void send(const HostId &host, const WorkerOrders &orders);
+    void noteUnanswered(const HostId &host);
+    void countOrders(const std::string &outcome) const;
     void applyPlatformView(TimePoint now);
     void logChanges(const LogEntry &entry) const;
+    MetricLabels classLabels(TaskClass taskClass) const;
     void publishMetrics(TimePoint now);
+    void publishHostMetrics() const;
 
     bool holds(std::uint64_t epoch) const
     {
@@ -537,12 +552,11 @@
 
 void ShardRunner::Impl::send(const HostId &host, const WorkerOrders &orders)
 {
-    context.metrics.count("worker_orders_total", {{"shard", shard.value}});
     const auto &hosts = watch.view().hosts;
     const auto record = std::find_if(hosts.begin(), hosts.end(),
                                      [&host](const HostRecord &item) { return item.host == host; });
     if (record == hosts.end()) {
-        onNoReport(*holder, host, currentTime());
+        noteUnanswered(host);
         return;
     }
     context.controlClient.send(
@@ -555,14 +569,26 @@
             constexpr unsigned statusOk = 200;
             if (outcome.response && outcome.response->status == statusOk) {
                 if (const auto report = decodeReport(outcome.response->body)) {
+                    self->countOrders("answered");
                     onReport(*self->holder, host, *report, currentTime());
                     return;
                 }
             }
-            onNoReport(*self->holder, host, currentTime());
+            self->noteUnanswered(host);
         });
 }
 
+void ShardRunner::Impl::noteUnanswered(const HostId &host)
+{
+    countOrders("unanswered");
+    onNoReport(*holder, host, currentTime());
+}
+
+void ShardRunner::Impl::countOrders(const std::string &outcome) const
+{
+    context.metrics.count("worker_orders_total", {{"shard", shard.value}, {"outcome", outcome}});
+}
+
 void ShardRunner::Impl::applyPlatformView(TimePoint now)
 {
     if (phase != ShardPhase::Holding) {
@@ -592,7 +618,9 @@
     for (const Change &change : entry.changes) {
         if (const auto *release = std::get_if<TaskReleased>(&change);
             release != nullptr && release->reason == ReleaseReason::Evicted) {
-            context.metrics.count("task_evictions_total", {{"shard", shard.value}});
+            context.metrics.count(
+                "task_evictions_total",
+                classLabels(holder->state.tasks.at(release->task).spec.taskClass));
             logEvent(EventId::TaskEvicted, {{"task", release->task.value},
                                             {"incarnation", std::to_string(release->incarnation)},
                                             {"detail", release->detail}});
@@ -603,35 +631,63 @@
     }
 }
 
+MetricLabels ShardRunner::Impl::classLabels(TaskClass taskClass) const
+{
+    static constexpr std::array names = {"urgent", "latency-critical", "batch"};
+    return {{"shard", shard.value}, {"class", names.at(static_cast<std::size_t>(taskClass))}};
+}
+
 void ShardRunner::Impl::publishMetrics(TimePoint now)
 {
-    const MetricLabels labels{{"shard", shard.value}};
-    Metrics &metrics = context.metrics;
-    std::size_t running = 0;
-    std::size_t unreachable = 0;
-    std::size_t probation = 0;
-    for (const auto &[host, worker] : holder->workers) {
-        running += worker.running.size();
-        unreachable += worker.unanswered >= options.holder.unreachableAfter ? 1 : 0;
-        probation += worker.failedTasks.size() >= options.holder.probationFailures ? 1 : 0;
+    publishHostMetrics();
+    std::map<TaskClass, TaskCounts> counts{
+        {TaskClass::Urgent, {}}, {TaskClass::LatencyCritical, {}}, {TaskClass::Batch, {}}};
+    const auto countsOf = [&](const TaskId &task) -> TaskCounts & {
+        return counts[holder->state.tasks.at(task).spec.taskClass];
+    };
+    for (const auto &[key, task] : holder->state.queue) {
+        ++counts[key.taskClass].queued;
     }
-    TimePoint oldest = now;
     for (const auto &[task, since] : holder->waitingSince) {
-        oldest = std::min(oldest, since);
-    }
-    metrics.set("queue_length", labels, static_cast<double>(holder->state.queue.size()));
-    metrics.set("queue_oldest_seconds", labels,
-                std::chrono::duration<double>(now - oldest).count());
-    metrics.set("tasks_running", labels, static_cast<double>(running));
-    metrics.set("hosts_unreachable", labels, static_cast<double>(unreachable));
-    metrics.set("hosts_on_probation", labels, static_cast<double>(probation));
-    const auto late = lateTasks(*holder, now);
-    metrics.set("task_late", labels, static_cast<double>(late.size()));
-    for (const TaskId &task : late) {
+        if (holder->state.tasks.contains(task)) {
+            Duration &oldest = countsOf(task).oldest;
+            oldest = std::max(oldest, now - since);
+        }
+    }
+    for (const auto &[host, worker] : holder->workers) {
+        for (const auto &[run, usage] : worker.running) {
+            if (holder->state.tasks.contains(run.task)) {
+                ++countsOf(run.task).running;
+            }
+        }
+    }
+    for (const TaskId &task : lateTasks(*holder, now)) {
+        ++countsOf(task).late;
         if (holder->lateReported.insert(task).second) {
             logEvent(EventId::TaskLate, {{"task", task.value}});
         }
     }
+    for (const auto &[taskClass, count] : counts) {
+        const MetricLabels labels = classLabels(taskClass);
+        context.metrics.set("queue_length", labels, count.queued);
+        context.metrics.set("queue_oldest_seconds", labels,
+                            std::chrono::duration<double>(count.oldest).count());
+        context.metrics.set("tasks_running", labels, count.running);
+        context.metrics.set("task_late", labels, count.late);
+    }
+}
+
+void ShardRunner::Impl::publishHostMetrics() const
+{
+    int unreachable = 0;
+    int probation = 0;
+    for (const auto &[host, worker] : holder->workers) {
+        unreachable += worker.unanswered >= options.holder.unreachableAfter ? 1 : 0;
+        probation += isOnProbation(*holder, host) ? 1 : 0;
+    }
+    const MetricLabels labels{{"shard", shard.value}};
+    context.metrics.set("hosts_unreachable", labels, unreachable);
+    context.metrics.set("hosts_on_probation", labels, probation);
 }
 
 ShardRunner::ShardRunner(DaemonContext &context, PlatformWatch &watch, ShardId shard,
--- a/tests/failure/admin_test.cpp
+++ b/tests/failure/admin_test.cpp
@@ -1,12 +1,38 @@
 #include "failure/scenario.h"
 
+#include "alerts/metriccatalogue.h"
+
 #include <doctest/doctest.h>
 #include <set>
+#include <sstream>
+#include <string>
+#include <vector>
 
 using namespace acaciadeal;
 using namespace acaciadeal::failure_tests;
 using nlohmann::json;
 
+namespace {
+
+/// Reads name and label names of one line of a /metrics answer.
+MetricSample sampleOf(const std::string &line)
+{
+    MetricSample sample;
+    const auto end = line.find_first_of("{ ");
+    sample.name = line.substr(0, end);
+    auto begin = line[end] == '{' ? end + 1 : std::string::npos;
+    while (begin != std::string::npos) {
+        const auto equals = line.find("=\"", begin);
+        const auto quote = line.find('"', equals + 2);
+        sample.labels[line.substr(begin, equals - begin)] =
+            line.substr(equals + 2, quote - equals - 2);
+        begin = line[quote + 1] == ',' ? quote + 2 : std::string::npos;
+    }
+    return sample;
+}
+
+} // namespace
+
 TEST_SUITE_BEGIN("admin");
 
 // Guards against an operator being shown an empty list, because answers of members are lost on the
@@ -44,6 +70,26 @@
     }
 }
 
+// Guards against an alert rule that is accepted because the catalogue names its metric or label,
+// and that never fires because the daemon exports another one.
+TEST_CASE("every exported metric is in the catalogue of the alert rules")
+{
+    Cluster cluster({});
+    submitAccepted(cluster, "measured", 2, {{"run_ms", 100}}, firstDomain);
+    cluster.waitFinished("measured", 2);
+    for (const auto &daemon : cluster.daemons()) {
+        std::istringstream text(cluster.caller().get(daemon->endpoint(), "/metrics").body);
+        std::vector<MetricSample> samples;
+        for (std::string line; std::getline(text, line);) {
+            if (!line.empty() && line.front() != '#') {
+                samples.push_back(sampleOf(line));
+            }
+        }
+        CHECK(samples.size() > 10);
+        CHECK(uncataloguedSamples(samples) == std::vector<std::string>{});
+    }
+}
+
 // Guards against changes by callers without an operator's token.
 TEST_CASE("a failure domain is not changed without an operator's token")
 {
