--- a/packages/base/resultcode.h
+++ b/packages/base/resultcode.h
@@ -49,6 +49,9 @@
     StalePermit = 3007,
     StaleEpoch = 3008,
     RepeatedStart = 3009,
+    JobNotFound = 3010,
+    QueueNotFound = 3011,
+    NotReady = 3012,
 
     TornEntry = 4001,
     RepeatedEntry = 4002,
@@ -62,6 +65,7 @@
     CheckFailed = 5002,
     WriteOutcomeUnknown = 5003,
     PlatformProtocol = 5004,
+    HistoryLost = 5005,
 
     FrameTooLarge = 6001,
     TruncatedFrame = 6002,
--- a/packages/daemon/context.h
+++ b/packages/daemon/context.h
@@ -4,7 +4,7 @@
 #include "http/httpclient.h"
 #include "http/httprouter.h"
 #include "metrics/metrics.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "runtime/eventloop.h"
 #include "settings/daemonsettings.h"
 #include "wire/peerclient.h"
--- a/packages/daemon/internal/recordstore.cpp
+++ b/packages/daemon/internal/recordstore.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/internal/requestcodec.h"
 #include "logging/log.h"
-#include "platform/definitecommit.h"
+#include "store/definitecommit.h"
 #include "runtime/eventloop.h"
 
 #include <map>
--- a/packages/daemon/internal/recordstore.h
+++ b/packages/daemon/internal/recordstore.h
@@ -1,7 +1,7 @@
 #ifndef ACACIADEAL_DAEMON_INTERNAL_RECORDSTORE_H
 #define ACACIADEAL_DAEMON_INTERNAL_RECORDSTORE_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "requests/requestrecord.h"
 
 #include <cstddef>
--- a/packages/daemon/internal/requestcodec.cpp
+++ b/packages/daemon/internal/requestcodec.cpp
@@ -1,6 +1,6 @@
 #include "daemon/internal/requestcodec.h"
 
-#include "platform/codec.h"
+#include "store/codec.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/daemon/jobservice.cpp
+++ b/packages/daemon/jobservice.cpp
@@ -2,7 +2,7 @@
 
 #include "base/hash.h"
 #include "daemon/rowkeys.h"
-#include "platform/definitecommit.h"
+#include "store/definitecommit.h"
 #include "state/codec.h"
 
 #include <nlohmann/json.hpp>
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 #include "daemon/plugins.h"
+#include "fleet/fleetdaemon.h"
 #include "logging/log.h"
 
 #include <csignal>
@@ -51,8 +52,22 @@
     }
 }
 
-/// Runs the daemon until SIGTERM or SIGINT.
-int run(const DaemonSettings &settings)
+/// Logs whether the changed settings file is valid. Its values are taken at the next start;
+/// everything that may change while a daemon runs comes from the platform.
+void reportReload(const std::string &file)
+{
+    const auto settings = readDaemonSettings(file);
+    if (settings) {
+        logEvent(EventId::SettingsReloaded, {{"file", file}});
+    } else {
+        logEvent(EventId::SettingsFileRejected,
+                 {{"file", file}, {"reason", settings.error().message}});
+    }
+}
+
+/// Runs a daemon until SIGTERM or SIGINT.
+template<typename AnyDaemon>
+int run(const DaemonSettings &settings, const std::string &file)
 {
     // Blocked before threads exist, so that all of them inherit the mask and sigwait() gets the
     // signals.
@@ -60,11 +75,12 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
     openLog({.daemon = settings.daemon.value});
-    Daemon daemon(settings);
+    AnyDaemon daemon(settings);
     if (const auto started = daemon.start(); !started) {
         return report(started.error());
     }
@@ -72,7 +88,9 @@
                                       {"peer", toString(settings.peerListen)},
                                       {"failure_domain", settings.failureDomain.value}});
     int signal = 0;
-    sigwait(&signals, &signal);
+    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
+        reportReload(file);
+    }
     logEvent(EventId::DaemonStopping, {{"signal", std::to_string(signal)}});
     daemon.shutDown();
     logEvent(EventId::DaemonStopped);
@@ -120,5 +138,9 @@
     if (!settings) {
         return report(settings.error());
     }
-    return options.checkOnly ? exitOk : run(*settings);
+    if (options.checkOnly) {
+        return exitOk;
+    }
+    return settings->fleet ? run<FleetDaemon>(*settings, options.settingsFile)
+                           : run<Daemon>(*settings, options.settingsFile);
 }
--- a/packages/daemon/plugins.cpp
+++ b/packages/daemon/plugins.cpp
@@ -1,7 +1,8 @@
 #include "daemon/plugins.h"
 
+#include "fleet/fleetadapter.h"
 #include "kernel/pluginregistry.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "requests/routingpolicy.h"
 #include "scheduling/placementpolicy.h"
 
@@ -18,7 +19,8 @@
 
 std::vector<PluginGroup> pluginGroups()
 {
-    return {groupOf<PlatformPlugin>(), groupOf<RoutingPolicy>(), groupOf<PlacementPolicy>()};
+    return {groupOf<PlatformPlugin>(), groupOf<RoutingPolicy>(), groupOf<PlacementPolicy>(),
+            groupOf<FleetAdapter>()};
 }
 
 } // namespace acaciadeal
--- a/packages/daemon/shardstore.cpp
+++ b/packages/daemon/shardstore.cpp
@@ -1,6 +1,6 @@
 #include "daemon/shardstore.h"
 
-#include "platform/definitecommit.h"
+#include "store/definitecommit.h"
 #include "state/codec.h"
 
 #include <algorithm>
--- a/packages/daemon/shardstore.h
+++ b/packages/daemon/shardstore.h
@@ -2,7 +2,7 @@
 #define ACACIADEAL_DAEMON_SHARDSTORE_H
 
 #include "daemon/rowkeys.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "state/shardstate.h"
 
 #include <functional>
--- /dev/null
+++ b/packages/dispatch/dispatcher.cpp
@@ -0,0 +1,494 @@
+#include "dispatch/dispatcher.h"
+
+#include "dispatch/interference.h"
+#include "dispatch/placement.h"
+#include "dispatch/waitorder.h"
+
+#include <algorithm>
+
+namespace acaciadeal {
+namespace {
+
+const StepSpec &stepOf(const JobRuntime &job, const TaskKey &task)
+{
+    return job.spec.steps[task.step];
+}
+
+void note(Dispatcher &dispatcher, Finding finding)
+{
+    dispatcher.findings.push_back(std::move(finding));
+}
+
+void openSteps(JobRuntime &job)
+{
+    for (std::size_t n = 0; n < job.steps.size(); ++n) {
+        StepRuntime &step = job.steps[n];
+        if (step.open) {
+            continue;
+        }
+        const auto &dependsOn = job.spec.steps[n].dependsOn;
+        step.open = std::all_of(dependsOn.begin(), dependsOn.end(), [&job](std::uint32_t other) {
+            return isStepDone(job.progress, other);
+        });
+    }
+}
+
+/// Frees the host and lets the task wait again. The checkpoint of the run is kept.
+void returnToWaiting(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task)
+{
+    if (FleetHost *const host = findHost(dispatcher.fleet, task.host)) {
+        const auto it = host->runs.find(key);
+        if (it != host->runs.end() && it->second == task.run) {
+            vacate(*host, stepOf(job, key), key);
+        }
+    }
+    task.host = {};
+    if (task.phase != TaskPhase::Waiting) {
+        ++job.steps[key.step].waiting;
+    }
+    task.phase = TaskPhase::Waiting;
+    task.percent = 0;
+    task.load = 0;
+    task.pace = 100;
+}
+
+void endJob(Dispatcher &dispatcher, JobRuntime &job, JobState outcome, const std::string &reason,
+            TimePoint now)
+{
+    if (isTerminal(job.progress.outcome)) {
+        return;
+    }
+    job.progress.outcome = outcome;
+    dispatcher.fleet.dirty.insert(job.spec.id);
+    job.endedAt = now;
+    dispatcher.fleet.ended.push_back(job.spec.id);
+    std::erase(dispatcher.fleet.live, &job);
+    dispatcher.fleet.stopping.insert(job.spec.id);
+    note(dispatcher, {.kind = Finding::Kind::JobEnded, .job = job.spec.id, .reason = reason});
+}
+
+void completeTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
+                  TimePoint now)
+{
+    returnToWaiting(dispatcher, job, key, task);
+    task.phase = TaskPhase::Done;
+    --job.steps[key.step].waiting;
+    StepProgress &progress = job.progress.steps[key.step];
+    progress.done[key.index] = true;
+    dispatcher.fleet.dirty.insert(job.spec.id);
+    if (stepOf(job, key).gang) {
+        // One end stands for all members.
+        for (std::uint32_t n = 0; n < progress.done.size(); ++n) {
+            TaskRuntime &member = job.steps[key.step].tasks[n];
+            if (member.phase != TaskPhase::Done) {
+                progress.done[n] = true;
+                returnToWaiting(dispatcher, job, {key.job, key.occurrence, key.step, n}, member);
+                member.phase = TaskPhase::Done;
+                --job.steps[key.step].waiting;
+            }
+        }
+    }
+    if (!isStepDone(job.progress, key.step)) {
+        return;
+    }
+    openSteps(job);
+    bool allDone = true;
+    for (std::size_t n = 0; n < job.steps.size(); ++n) {
+        allDone = allDone && isStepDone(job.progress, n);
+    }
+    if (allDone) {
+        endJob(dispatcher, job, JobState::Completed, "all tasks are done", now);
+    }
+}
+
+void failTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
+              TimePoint now)
+{
+    const HostId host = task.host;
+    returnToWaiting(dispatcher, job, key, task);
+    task.failedOn = host;
+    if (stepOf(job, key).longRunning) {
+        return;
+    }
+    const std::uint32_t failures = ++job.progress.steps[key.step].failures[key.index];
+    dispatcher.fleet.dirty.insert(job.spec.id);
+    if (failures >= job.spec.terms.maxAttempts) {
+        endJob(dispatcher, job, JobState::Failed,
+               "task " + toString(key) + " failed " + std::to_string(failures) + " times", now);
+    }
+}
+
+void judgeHost(Dispatcher &dispatcher, FleetHost &host, bool failed, TimePoint now)
+{
+    if (!failed) {
+        host.failuresInARow = 0;
+        return;
+    }
+    if (++host.failuresInARow < dispatcher.options.failuresBeforeProbation) {
+        return;
+    }
+    host.avoidUntil = now + dispatcher.options.probation;
+    note(dispatcher, {.kind = Finding::Kind::HostAvoided,
+                      .host = host.id,
+                      .reason = std::to_string(host.failuresInARow) + " failures in a row"});
+}
+
+bool isCurrent(const TaskRuntime &task, const HostId &host, std::uint64_t run)
+{
+    return task.host == host && task.run == run && task.phase != TaskPhase::Waiting
+        && task.phase != TaskPhase::Done;
+}
+
+void takeEnd(Dispatcher &dispatcher, FleetHost &host, const RunEnding &ended, TimePoint now)
+{
+    JobRuntime *const job = findJob(dispatcher.fleet, ended.task.job);
+    TaskRuntime *const task = findTask(dispatcher.fleet, ended.task);
+    if (job == nullptr || task == nullptr) {
+        return;
+    }
+    note(dispatcher, {.kind = Finding::Kind::RunEnded,
+                      .job = ended.task.job,
+                      .subject = toString(ended.task),
+                      .host = host.id,
+                      .run = ended.run,
+                      .reason = std::string(runEndName(ended.end))});
+    const bool current = isCurrent(*task, host.id, ended.run);
+    // After a takeover the end of a run of the previous holder arrives while its task waits.
+    const bool inherited = task->phase == TaskPhase::Waiting && ended.run > task->run;
+    if (!current && !inherited) {
+        return;
+    }
+    if (inherited) {
+        task->run = ended.run;
+        task->host = host.id;
+        job->begun = true;
+    }
+    if (!ended.checkpoint.empty()) {
+        task->checkpoint = ended.checkpoint;
+    }
+    if (ended.end == RunEnd::Done && !stepOf(*job, ended.task).longRunning) {
+        judgeHost(dispatcher, host, false, now);
+        completeTask(dispatcher, *job, ended.task, *task, now);
+    } else if (ended.end == RunEnd::Failed) {
+        // A job that fails everywhere says nothing about the host.
+        judgeHost(dispatcher, host, task->failedOn.empty(), now);
+        failTask(dispatcher, *job, ended.task, *task, now);
+    } else {
+        returnToWaiting(dispatcher, *job, ended.task, *task);
+    }
+}
+
+void takeActive(Dispatcher &dispatcher, FleetHost &host, const PresentRun &active, TimePoint now)
+{
+    JobRuntime *const job = findJob(dispatcher.fleet, active.task.job);
+    TaskRuntime *const task = findTask(dispatcher.fleet, active.task);
+    const bool known = job != nullptr && task != nullptr;
+    if (known && task->phase == TaskPhase::Waiting && active.run > task->run
+        && !isTerminal(job->progress.outcome)) {
+        task->phase = TaskPhase::Running;
+        --job->steps[active.task.step].waiting;
+        task->run = active.run;
+        task->host = host.id;
+        task->since = now;
+        task->progressedAt = now;
+        job->begun = true;
+        occupy(host, stepOf(*job, active.task), active.task, active.run);
+        note(dispatcher, {.kind = Finding::Kind::RunAdopted,
+                          .job = active.task.job,
+                          .subject = toString(active.task),
+                          .host = host.id,
+                          .run = active.run});
+    }
+    if (!known || !isCurrent(*task, host.id, active.run)) {
+        dispatcher.strayStops.push_back({host.id, active.task, active.run});
+        return;
+    }
+    if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
+        task->phase = TaskPhase::Running;
+        task->since = now;
+        task->progressedAt = now;
+    }
+    if (!active.checkpoint.empty()) {
+        task->checkpoint = active.checkpoint;
+    }
+    if (active.percent > task->percent) {
+        task->progressedAt = now;
+    }
+    task->percent = active.percent;
+    task->load = active.load;
+}
+
+/// A confirmed run that a later report does not list any more has vanished with a restart.
+void loseUnlisted(Dispatcher &dispatcher, FleetHost &host, const HostReport &report,
+                  TimePoint sentAt, bool fenced, TimePoint now)
+{
+    std::set<TaskKey> listed;
+    for (const PresentRun &active : report.active) {
+        listed.insert(active.task);
+    }
+    const std::map<TaskKey, std::uint64_t> runs = host.runs;
+    for (const auto &[key, run] : runs) {
+        JobRuntime *const job = findJob(dispatcher.fleet, key.job);
+        TaskRuntime *const task = findTask(dispatcher.fleet, key);
+        if (job == nullptr || task == nullptr || listed.contains(key)) {
+            continue;
+        }
+        const bool confirmed =
+            task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping;
+        const bool settled = (confirmed && sentAt > task->since)
+            || (task->phase == TaskPhase::Uncertain && fenced && sentAt > task->since);
+        if (settled) {
+            note(dispatcher, {.kind = Finding::Kind::RunLost,
+                              .job = key.job,
+                              .subject = toString(key),
+                              .host = host.id,
+                              .run = run,
+                              .reason = confirmed ? "not listed any more" : "never started"});
+            returnToWaiting(dispatcher, *job, key, *task);
+        }
+    }
+    (void)now;
+}
+
+/// Returns whether the task still occupies a host.
+bool stopTask(Dispatcher &dispatcher, const TaskKey &key, TaskRuntime &task, Orders &orders,
+              TimePoint now)
+{
+    if (task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Done) {
+        return false;
+    }
+    const bool due = task.phase == TaskPhase::Running
+        || (task.phase == TaskPhase::Stopping
+            && now - task.since >= dispatcher.options.stopRepeat);
+    if (due) {
+        task.phase = TaskPhase::Stopping;
+        task.since = now;
+        orders.stops.push_back({task.host, key, task.run});
+    }
+    return true;
+}
+
+void stopEndedJobs(Dispatcher &dispatcher, Orders &orders, TimePoint now)
+{
+    std::erase_if(dispatcher.fleet.stopping, [&](const JobId &id) {
+        JobRuntime *const job = findJob(dispatcher.fleet, id);
+        if (job == nullptr) {
+            return true;
+        }
+        bool present = false;
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+            std::vector<TaskRuntime> &tasks = job->steps[step].tasks;
+            for (std::uint32_t n = 0; n < tasks.size(); ++n) {
+                present = stopTask(dispatcher, {id, 0, step, n}, tasks[n], orders, now) || present;
+            }
+        }
+        return !present;
+    });
+}
+
+void startTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
+               FleetHost &host, Orders &orders, TimePoint now)
+{
+    task.run = std::max(task.run, dispatcher.fleet.runBase) + 1;
+    task.phase = TaskPhase::Starting;
+    task.host = host.id;
+    task.since = now;
+    task.progressedAt = now;
+    --job.steps[key.step].waiting;
+    job.begun = true;
+    occupy(host, stepOf(job, key), key, task.run);
+    orders.starts.push_back({host.id, key, task.run, job.spec.payload, task.checkpoint});
+}
+
+void startStep(Dispatcher &dispatcher, const ReadyStep &ready, Orders &orders, TimePoint now)
+{
+    JobRuntime &job = *ready.job;
+    StepRuntime &step = job.steps[ready.step];
+    for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
+        TaskRuntime &task = step.tasks[n];
+        if (task.phase != TaskPhase::Waiting || now < task.notBefore) {
+            continue;
+        }
+        FleetHost *const host = chooseHost(dispatcher.fleet, job, ready.step, task, now);
+        if (host == nullptr) {
+            return;
+        }
+        startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
+    }
+}
+
+} // namespace
+
+void addJob(Dispatcher &dispatcher, JobSpec spec, JobProgress progress,
+            std::uint64_t progressVersion, bool unaccounted, TimePoint now)
+{
+    if (dispatcher.fleet.jobs.contains(spec.id)) {
+        return;
+    }
+    auto job = std::make_unique<JobRuntime>();
+    job->spec = std::move(spec);
+    job->progress = std::move(progress);
+    job->progressVersion = progressVersion;
+    job->unaccounted = unaccounted;
+    job->acceptedAt = now;
+    job->chain = declaredChain(job->spec);
+    const auto allowed = std::chrono::duration_cast<milliseconds>(
+        job->chain * job->spec.terms.slowdownFactor);
+    job->objective = now + allowed + job->spec.terms.targetLatency;
+    for (std::size_t n = 0; n < job->spec.steps.size(); ++n) {
+        StepRuntime step;
+        step.tasks.resize(job->spec.steps[n].tasks);
+        for (std::size_t task = 0; task < step.tasks.size(); ++task) {
+            if (job->progress.steps[n].done[task]) {
+                step.tasks[task].phase = TaskPhase::Done;
+                job->begun = true;
+            } else {
+                ++step.waiting;
+            }
+        }
+        job->steps.push_back(std::move(step));
+    }
+    if (isTerminal(job->progress.outcome)) {
+        job->endedAt = now;
+        dispatcher.fleet.ended.push_back(job->spec.id);
+    } else {
+        dispatcher.fleet.live.push_back(job.get());
+    }
+    openSteps(*job);
+    const JobId id = job->spec.id;
+    dispatcher.fleet.jobs.emplace(id, std::move(job));
+}
+
+bool cancelJob(Dispatcher &dispatcher, const JobId &job, TimePoint now)
+{
+    JobRuntime *const runtime = findJob(dispatcher.fleet, job);
+    if (runtime == nullptr) {
+        return false;
+    }
+    endJob(dispatcher, *runtime, JobState::Cancelled, "cancelled by the caller", now);
+    return true;
+}
+
+void takeReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
+                TimePoint sentAt, bool fenced, TimePoint now)
+{
+    FleetHost *const state = findHost(dispatcher.fleet, host);
+    if (state == nullptr) {
+        return;
+    }
+    for (const RunEnding &ended : report.ended) {
+        if (ended.number > state->seenEnd) {
+            state->seenEnd = ended.number;
+            takeEnd(dispatcher, *state, ended, now);
+        }
+    }
+    for (const PresentRun &active : report.active) {
+        takeActive(dispatcher, *state, active, now);
+    }
+    loseUnlisted(dispatcher, *state, report, sentAt, fenced, now);
+    updateTailRatio(dispatcher.fleet, *state);
+    adjustPace(*state, now);
+    orderPaces(dispatcher.fleet, *state, dispatcher.paces);
+    state->reported = true;
+}
+
+void takeStartOutcome(Dispatcher &dispatcher, const StartRun &order, StartOutcome outcome,
+                      TimePoint now)
+{
+    JobRuntime *const job = findJob(dispatcher.fleet, order.task.job);
+    TaskRuntime *const task = findTask(dispatcher.fleet, order.task);
+    FleetHost *const host = findHost(dispatcher.fleet, order.host);
+    if (job == nullptr || task == nullptr || !isCurrent(*task, order.host, order.run)
+        || task->phase != TaskPhase::Starting) {
+        return;
+    }
+    switch (outcome) {
+    case StartOutcome::Started:
+        task->phase = TaskPhase::Running;
+        task->since = now;
+        if (host != nullptr) {
+            orderPaces(dispatcher.fleet, *host, dispatcher.paces);
+        }
+        return;
+    case StartOutcome::Unknown:
+        task->phase = TaskPhase::Uncertain;
+        task->since = now;
+        return;
+    case StartOutcome::Unhealthy:
+        if (host != nullptr) {
+            judgeHost(dispatcher, *host, true, now);
+        }
+        break;
+    case StartOutcome::Malformed:
+        endJob(dispatcher, *job, JobState::Failed, "a host refused the task as malformed", now);
+        break;
+    default:
+        break;
+    }
+    returnToWaiting(dispatcher, *job, order.task, *task);
+    // The same choice at once would likely meet the same refusal.
+    task->notBefore = now + milliseconds(50);
+    task->failedOn = order.host;
+}
+
+void loseRuns(Dispatcher &dispatcher, const HostId &host, const std::string &reason, TimePoint now)
+{
+    FleetHost *const state = findHost(dispatcher.fleet, host);
+    if (state == nullptr) {
+        return;
+    }
+    const std::map<TaskKey, std::uint64_t> runs = state->runs;
+    for (const auto &[key, run] : runs) {
+        JobRuntime *const job = findJob(dispatcher.fleet, key.job);
+        TaskRuntime *const task = findTask(dispatcher.fleet, key);
+        if (job == nullptr || task == nullptr || !isCurrent(*task, host, run)) {
+            continue;
+        }
+        note(dispatcher, {.kind = Finding::Kind::RunLost,
+                          .job = key.job,
+                          .subject = toString(key),
+                          .host = host,
+                          .run = run,
+                          .reason = reason});
+        returnToWaiting(dispatcher, *job, key, *task);
+    }
+    state->runs.clear();
+    state->committed = {};
+    state->backfillMilliCores = 0;
+    state->servingMilliCores = 0;
+    (void)now;
+}
+
+void accountForAll(Dispatcher &dispatcher)
+{
+    for (auto &[id, job] : dispatcher.fleet.jobs) {
+        job->unaccounted = false;
+    }
+}
+
+Orders plan(Dispatcher &dispatcher, TimePoint now)
+{
+    Orders orders;
+    orders.stops = std::move(dispatcher.strayStops);
+    dispatcher.strayStops.clear();
+    stopEndedJobs(dispatcher, orders, now);
+    for (const ReadyStep &ready : readySteps(dispatcher.fleet, now)) {
+        startStep(dispatcher, ready, orders, now);
+    }
+    orders.paces = std::move(dispatcher.paces);
+    dispatcher.paces.clear();
+    return orders;
+}
+
+std::size_t pendingJobs(const Dispatcher &dispatcher, const std::string &queue)
+{
+    std::size_t n = 0;
+    for (const JobRuntime *const job : dispatcher.fleet.live) {
+        if (job->spec.terms.queue == queue && stateOf(*job) == JobState::Queued) {
+            ++n;
+        }
+    }
+    return n;
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/dispatch/dispatcher.h
@@ -0,0 +1,111 @@
+#ifndef ACACIADEAL_DISPATCH_DISPATCHER_H
+#define ACACIADEAL_DISPATCH_DISPATCHER_H
+
+#include "dispatch/fleetstate.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace acaciadeal {
+
+struct StartRun
+{
+    HostId host;
+    TaskKey task;
+    std::uint64_t run = 0;
+    std::string payload;
+    std::string checkpoint;
+};
+
+struct StopRun
+{
+    HostId host;
+    TaskKey task;
+    std::uint64_t run = 0;
+};
+
+/// Sets the speed of a backfill task.
+struct PaceRun
+{
+    HostId host;
+    TaskKey task;
+    std::uint64_t run = 0;
+    int percent = 100;
+};
+
+struct Orders
+{
+    std::vector<StartRun> starts;
+    std::vector<StopRun> stops;
+    std::vector<PaceRun> paces;
+};
+
+/// Something that the holder now believes, for the log.
+struct Finding
+{
+    enum class Kind : std::uint8_t { RunEnded, RunLost, HostAvoided, JobEnded, RunAdopted };
+    Kind kind = Kind::RunEnded;
+    JobId job;
+    std::string subject;
+    HostId host;
+    std::uint64_t run = 0;
+    std::string reason;
+};
+
+struct DispatchOptions
+{
+    /// Time for which a host is avoided after several tasks in a row failed there. Longer than an
+    /// ordinary restart of a worker, short enough to use a repaired host again.
+    Duration probation = std::chrono::seconds(4);
+    int failuresBeforeProbation = 2;
+    /// Delay before a stop order is repeated.
+    Duration stopRepeat = milliseconds(300);
+};
+
+/// Decisions of a shard's holder: pure functions of the state, the events and the time. Not
+/// thread-safe.
+struct Dispatcher
+{
+    DispatchOptions options;
+    FleetState fleet;
+    std::vector<Finding> findings;
+    /// Stop orders for runs that no task needs; collected by plan().
+    std::vector<StopRun> strayStops;
+    /// Changes of speed; collected by plan().
+    std::vector<PaceRun> paces;
+};
+
+/// Adds a job; does nothing if it is known. @p unaccounted: its tasks may still be running on hosts
+/// that have not reported yet.
+void addJob(Dispatcher &dispatcher, JobSpec spec, JobProgress progress,
+            std::uint64_t progressVersion, bool unaccounted, TimePoint now);
+
+/// Marks a job as cancelled. Its runs are stopped by the next plan(). Returns false if the job is
+/// unknown.
+bool cancelJob(Dispatcher &dispatcher, const JobId &job, TimePoint now);
+
+/// Takes in a report. @p sentAt is the time at which the renewal was sent; @p fenced is whether it
+/// carried the host's newest token, so that orders before it cannot take effect any more.
+void takeReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
+                TimePoint sentAt, bool fenced, TimePoint now);
+
+/// Takes in the answer to a start order.
+void takeStartOutcome(Dispatcher &dispatcher, const StartRun &order, StartOutcome outcome,
+                      TimePoint now);
+
+/// Declares all runs of @p host lost: its lease has lapsed, or it began a new life.
+void loseRuns(Dispatcher &dispatcher, const HostId &host, const std::string &reason, TimePoint now);
+
+/// Ends the recovery: from now on, tasks that no host reported are known not to run.
+void accountForAll(Dispatcher &dispatcher);
+
+/// Decides which tasks to start and stop.
+Orders plan(Dispatcher &dispatcher, TimePoint now);
+
+/// Number of jobs of @p queue of which no task has started.
+std::size_t pendingJobs(const Dispatcher &dispatcher, const std::string &queue);
+
+} // namespace acaciadeal
+
+#endif
--- /dev/null
+++ b/packages/dispatch/fleetstate.h
@@ -0,0 +1,162 @@
+#ifndef ACACIADEAL_DISPATCH_FLEETSTATE_H
+#define ACACIADEAL_DISPATCH_FLEETSTATE_H
+
+#include "base/identifier.h"
+#include "base/resources.h"
+#include "base/time.h"
+#include "dispatch/taskrun.h"
+#include "jobs/jobprogress.h"
+#include "jobs/jobspec.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace acaciadeal {
+
+enum class TaskPhase : std::uint8_t {
+    Waiting,
+    /// A start order is on its way.
+    Starting,
+    /// A start order got no answer; the host's next fenced report settles it.
+    Uncertain,
+    Running,
+    Stopping,
+    Done,
+};
+
+/// What the holder knows of one task beyond its durable progress.
+struct TaskRuntime
+{
+    TaskPhase phase = TaskPhase::Waiting;
+    /// Number of the newest start; rises over takeovers because it begins with the epoch.
+    std::uint64_t run = 0;
+    /// Set unless the phase is Waiting or Done.
+    HostId host;
+    std::string checkpoint;
+    /// Start order sent; later, start confirmed.
+    TimePoint since;
+    /// Work share reported last, and when it last grew.
+    int percent = 0;
+    TimePoint progressedAt;
+    /// Tail or processors in use, as in PresentRun.
+    double load = 0;
+    /// Speed in percent that was ordered last.
+    int pace = 100;
+    /// Not started again before this time.
+    TimePoint notBefore;
+    /// Host on which the task failed last.
+    HostId failedOn;
+};
+
+struct StepRuntime
+{
+    std::vector<TaskRuntime> tasks;
+    /// Number of tasks in phase Waiting.
+    std::uint32_t waiting = 0;
+    /// Whether all steps that it depends on are done.
+    bool open = false;
+};
+
+struct JobRuntime
+{
+    JobSpec spec;
+    JobProgress progress;
+    /// Version of the progress row; 0 if there is none.
+    std::uint64_t progressVersion = 0;
+    TimePoint acceptedAt;
+    /// End of the objective; later completion earns less.
+    TimePoint objective;
+    /// Declared run time of the longest chain.
+    milliseconds chain{0};
+    std::vector<StepRuntime> steps;
+    /// Whether its tasks may still run on hosts that have not reported to this holder.
+    bool unaccounted = false;
+    /// Whether a task was ever started.
+    bool begun = false;
+    /// Set in a terminal state.
+    TimePoint endedAt;
+};
+
+/// One run as the holder believes it is present at a host.
+struct HostRun
+{
+    TaskKey task;
+    std::uint64_t run = 0;
+};
+
+/// Pool member that runs tasks.
+struct FleetHost
+{
+    HostId id;
+    FailureDomainId failureDomain;
+    ServiceId service;
+    std::set<std::string> labels;
+    RackId rack;
+    Resources capacity;
+    bool leaving = false;
+    /// Whether it is on the platform's host list.
+    bool listed = false;
+    /// Whether it has reported to this holder, so that what runs there is known.
+    bool reported = false;
+    /// Whether its last renewal was answered.
+    bool reachable = false;
+    std::optional<milliseconds> bornAt;
+    /// Runs that occupy the host, including those being started or stopped.
+    std::map<TaskKey, std::uint64_t> runs;
+    /// Sum of the runs' sizes; processors of backfill tasks are counted apart.
+    Resources committed;
+    std::int64_t backfillMilliCores = 0;
+    /// Part of committed processors that belongs to tasks with a tail target.
+    std::int64_t servingMilliCores = 0;
+    /// Highest end number that was taken in, and the highest whose effect is durable.
+    std::uint64_t seenEnd = 0;
+    std::uint64_t durableEnd = 0;
+    /// Ends `failed` on end, over distinct tasks; 0 after a success.
+    int failuresInARow = 0;
+    TimePoint avoidUntil;
+    /// Allowed speed of backfill tasks in percent.
+    int pace = 100;
+    TimePoint paceChangedAt;
+    /// Highest ratio of a serving task's tail to its target in the last report.
+    double tailRatio = 0;
+};
+
+/// Everything that the holder of a shard knows. Not thread-safe; used by one control thread.
+struct FleetState
+{
+    std::unordered_map<JobId, std::unique_ptr<JobRuntime>> jobs;
+    std::map<HostId, FleetHost> hosts;
+    std::set<FailureDomainId> evacuated;
+    /// Jobs that are not in a terminal state.
+    std::vector<JobRuntime *> live;
+    /// Jobs in a terminal state of which a run may still be present.
+    std::set<JobId> stopping;
+    /// Jobs whose progress differs from its row.
+    std::set<JobId> dirty;
+    /// Runs of this holder are numbered from here.
+    std::uint64_t runBase = 0;
+    /// Jobs in a terminal state, in the order of their ends.
+    std::vector<JobId> ended;
+};
+
+/// Returns the task's runtime record, or nullptr if there is no such job or task.
+TaskRuntime *findTask(FleetState &fleet, const TaskKey &task);
+JobRuntime *findJob(FleetState &fleet, const JobId &job);
+FleetHost *findHost(FleetState &fleet, const HostId &host);
+
+/// Returns the state as callers see it.
+JobState stateOf(const JobRuntime &job);
+
+/// Records that @p run occupies @p host, or no longer does.
+void occupy(FleetHost &host, const StepSpec &step, const TaskKey &task, std::uint64_t run);
+void vacate(FleetHost &host, const StepSpec &step, const TaskKey &task);
+
+} // namespace acaciadeal
+
+#endif
--- /dev/null
+++ b/packages/dispatch/placement.cpp
@@ -0,0 +1,112 @@
+#include "dispatch/placement.h"
+
+#include <algorithm>
+
+namespace acaciadeal {
+namespace {
+
+/// Weight of the data's rack against free room: remote tasks run several times as long.
+constexpr double dataRackBonus = 10.0;
+/// Weight against a host on which the same task has failed.
+constexpr double failedHerePenalty = 5.0;
+
+std::uint32_t tasksOfStep(const FleetHost &host, const JobId &job, std::uint32_t step)
+{
+    const auto first = host.runs.lower_bound({.job = job, .occurrence = 0, .step = step});
+    std::uint32_t n = 0;
+    for (auto it = first; it != host.runs.end() && it->first.job == job && it->first.step == step;
+         ++it) {
+        ++n;
+    }
+    return n;
+}
+
+bool isEligible(const FleetState &fleet, const FleetHost &host, const ServiceId &service,
+                const StepSpec &step, TimePoint now)
+{
+    return host.listed && host.reported && host.reachable && !host.leaving
+        && host.service == service && now >= host.avoidUntil
+        && !fleet.evacuated.contains(host.failureDomain)
+        && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
+}
+
+double idleMilliCores(const FleetHost &host)
+{
+    const double used = static_cast<double>(host.committed.milliCores)
+        - (1.0 - servingUse) * static_cast<double>(host.servingMilliCores);
+    return static_cast<double>(host.capacity.milliCores) - used
+        - static_cast<double>(host.backfillMilliCores);
+}
+
+/// Returns how well @p host suits; negative if it has no room.
+double scoreOf(const FleetHost &host, const StepSpec &step)
+{
+    Resources need = step.taskSize;
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
+    if (step.backfill) {
+        need.milliCores = 0;
+    }
+    if (!fits(host.committed + need, host.capacity)) {
+        return -1;
+    }
+    if (!step.backfill) {
+        const auto freeAfter = static_cast<double>(
+            host.capacity.milliCores - host.committed.milliCores - need.milliCores);
+        return 1.0 + freeAfter / capacity;
+    }
+    const double idle = idleMilliCores(host);
+    if (idle < minBackfillShare * static_cast<double>(step.taskSize.milliCores)
+        || host.tailRatio >= crowdedTailRatio) {
+        return -1;
+    }
+    return 1.0 + idle / capacity * (1.0 - host.tailRatio) * host.pace / 100.0;
+}
+
+} // namespace
+
+bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step)
+{
+    Resources need = step.taskSize;
+    if (step.backfill) {
+        need.milliCores = 0;
+    }
+    return std::any_of(fleet.hosts.begin(), fleet.hosts.end(), [&](const auto &entry) {
+        const FleetHost &host = entry.second;
+        return host.service == service && fits(need, host.capacity)
+            && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
+    });
+}
+
+FleetHost *chooseHost(FleetState &fleet, const JobRuntime &job, std::uint32_t step,
+                      const TaskRuntime &task, TimePoint now)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    FleetHost *best = nullptr;
+    double bestScore = -1;
+    for (auto &[id, host] : fleet.hosts) {
+        if (!isEligible(fleet, host, job.spec.terms.service, spec, now)) {
+            continue;
+        }
+        double score = scoreOf(host, spec);
+        if (score < 0) {
+            continue;
+        }
+        if (spec.maxTasksPerHost > 0
+            && tasksOfStep(host, job.spec.id, step) >= spec.maxTasksPerHost) {
+            continue;
+        }
+        if (!spec.dataRack.empty() && host.rack == spec.dataRack) {
+            score += dataRackBonus;
+        }
+        if (id == task.failedOn) {
+            score -= failedHerePenalty;
+        }
+        if (best == nullptr || score > bestScore) {
+            best = &host;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace acaciadeal
--- a/packages/embedded/workerserver.h
+++ b/packages/embedded/workerserver.h
@@ -3,7 +3,7 @@
 
 #include "embedded/worker.h"
 #include "http/httpserver.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <memory>
 
--- /dev/null
+++ b/packages/fleet/holder.cpp
@@ -0,0 +1,770 @@
+#include "fleet/holder.h"
+
+#include "fleet/internal/hostlink.h"
+#include "fleet/internal/progresswriter.h"
+#include "fleet/internal/roster.h"
+#include "fleet/jobrows.h"
+#include "logging/log.h"
+#include "runtime/bootclock.h"
+#include "runtime/eventloop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciadeal {
+namespace {
+
+using internal::HostLink;
+
+/// Clocks of hosts may be 2% slow, so a lease lasts longer by ours; 3% with rounding.
+constexpr double hostClockSlack = 1.03;
+constexpr Duration lapseSlack = milliseconds(150);
+/// Runs of one epoch are numbered within this range.
+constexpr std::uint64_t runsPerEpoch = 100'000;
+constexpr Duration readRetry = milliseconds(200);
+/// Wait of renewals for hosts on which nothing runs; the hosts' limit is 2 s.
+constexpr milliseconds idleRenewalWait{1900};
+constexpr std::size_t cleanupBatch = 20;
+
+Duration lapseTime(milliseconds lease)
+{
+    return std::chrono::duration_cast<Duration>(lease * hostClockSlack) + lapseSlack;
+}
+
+} // namespace
+
+struct FleetHolder::Impl
+{
+    Impl(FleetHolderEnvironment holderEnvironment, const FleetHolderOptions &holderOptions)
+        : env(std::move(holderEnvironment))
+        , options(holderOptions)
+        , writer({.loop = env.loop,
+                  .platform = env.platform,
+                  .fleet = dispatcher.fleet,
+                  .mayAct = env.mayAct,
+                  .onDurable =
+                      [this] {
+                          onDurable();
+                      }},
+                 {.delay = options.flushDelay, .urgentDelay = options.urgentFlushDelay})
+        , roster(env.platform, env.loop)
+    {
+        dispatcher.fleet.runBase = (options.epoch - 1) * runsPerEpoch;
+    }
+
+    void readState();
+    void onTables(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress);
+    void listHosts();
+    void onHosts(const Result<std::vector<HostRecord>> &hosts);
+    void takeHost(const HostRecord &record);
+    void dropUnlisted(TimePoint now);
+    void openLinks();
+    void tryAccount(TimePoint now);
+
+    void renew(HostLink &link, milliseconds wait, TimePoint now);
+    void onReport(const HostId &id, std::uint64_t sequence, std::uint64_t token, TimePoint sentAt,
+                  const Result<HostReport> &report);
+    void onSilence(HostLink &link, FleetHost &host, const Error &error, TimePoint now);
+    void beginNewLife(HostLink &link, FleetHost &host, const std::string &reason, TimePoint now);
+    void renewNext(HostLink &link, TimePoint now);
+    void onDurable();
+
+    void planSoon();
+    void planNow();
+    void sendStart(const StartRun &order, TimePoint now);
+    void sendStop(const StopRun &order);
+    void sendPace(const PaceRun &order);
+    void logFindings();
+    void afterEvent();
+
+    void tick();
+    void readNewJobs();
+    void onJobChanges(const Result<RowChanges> &changes);
+    void takeJobRow(const std::string &key, const std::string &value);
+    void cleanUp(TimePoint now);
+
+    HostCall callFor(const HostLink &link) const;
+    template<typename Function>
+    auto guarded(Function function);
+
+    FleetHolderEnvironment env;
+    FleetHolderOptions options;
+    Dispatcher dispatcher;
+    internal::ProgressWriter writer;
+    internal::Roster roster;
+    std::map<HostId, HostLink> links;
+    std::vector<JobSpec> early;
+    std::uint64_t jobsVersion = 0;
+    bool loaded = false;
+    bool accounted = false;
+    bool planScheduled = false;
+    bool finishing = false;
+    std::weak_ptr<FleetHolder> self;
+};
+
+/// Wraps a callback so that it does nothing once the holder is gone or stopped.
+template<typename Function>
+auto FleetHolder::Impl::guarded(Function function)
+{
+    return [weak = self, function = std::move(function)](auto &&...arguments) mutable {
+        const auto alive = weak.lock();
+        if (alive && alive->m_impl) {
+            function(std::forward<decltype(arguments)>(arguments)...);
+        }
+    };
+}
+
+HostCall FleetHolder::Impl::callFor(const HostLink &link) const
+{
+    return {.endpoint = link.endpoint,
+            .host = link.id,
+            .token = internal::tokenOf(options.epoch, link),
+            .timeout = options.hostTimeout};
+}
+
+void FleetHolder::Impl::readState()
+{
+    env.platform.readTable(jobTable, guarded([this](const Result<RowSnapshot> &jobs) {
+                               env.platform.readTable(
+                                   progressTable,
+                                   guarded([this, jobs](const Result<RowSnapshot> &progress) {
+                                       onTables(jobs, progress);
+                                   }));
+                           }));
+}
+
+void FleetHolder::Impl::onTables(const Result<RowSnapshot> &jobs,
+                                 const Result<RowSnapshot> &progress)
+{
+    if (!jobs || !progress) {
+        env.loop.postAfter(readRetry, guarded([this] { readState(); }));
+        return;
+    }
+    const TimePoint now = bootNow();
+    std::vector<Error> ignored;
+    for (StoredJob &job : joinJobRows(jobs->rows, progress->rows, ignored)) {
+        const JobId id = job.spec.id;
+        addJob(dispatcher, std::move(job.spec), std::move(job.progress), job.progressVersion,
+               options.epoch > 1, now);
+        if (job.cancelled) {
+            cancelJob(dispatcher, id, now);
+        }
+    }
+    for (const Error &error : ignored) {
+        logEvent(EventId::RowIgnored, {{"row", error.where}, {"reason", error.message}});
+    }
+    jobsVersion = jobs->version;
+    loaded = true;
+    for (JobSpec &job : early) {
+        JobProgress empty = emptyProgress(job);
+        addJob(dispatcher, std::move(job), std::move(empty), 0, false, now);
+    }
+    early.clear();
+    logEvent(EventId::ShardRecovered, {{"epoch", std::to_string(options.epoch)},
+                                       {"jobs", std::to_string(dispatcher.fleet.jobs.size())},
+                                       {"live", std::to_string(dispatcher.fleet.live.size())}});
+    env.loop.postAfter(options.readJobsEvery, guarded([this] { readNewJobs(); }));
+    for (auto &[id, link] : links) {
+        if (link.clock && !link.renewing) {
+            renew(link, milliseconds(0), now);
+        }
+    }
+    afterEvent();
+}
+
+void FleetHolder::Impl::listHosts()
+{
+    env.platform.listHosts(guarded([this](const Result<std::vector<HostRecord>> &hosts) {
+        onHosts(hosts);
+        env.loop.postAfter(options.listHostsEvery, guarded([this] { listHosts(); }));
+    }));
+}
+
+void FleetHolder::Impl::onHosts(const Result<std::vector<HostRecord>> &hosts)
+{
+    if (!hosts || !roster.isRead()) {
+        return;
+    }
+    for (auto &[id, host] : dispatcher.fleet.hosts) {
+        host.listed = false;
+    }
+    std::map<HostId, Endpoint> wanted;
+    for (const HostRecord &record : *hosts) {
+        takeHost(record);
+        wanted[record.host] = record.endpoint;
+    }
+    dropUnlisted(bootNow());
+    for (const auto &[id, link] : links) {
+        wanted.emplace(id, link.endpoint);
+    }
+    for (const auto &[id, endpoint] : roster.inherited()) {
+        if (!accounted) {
+            wanted.emplace(id, endpoint);
+        }
+    }
+    roster.write(wanted, guarded([this] { openLinks(); }));
+    openLinks();
+    planSoon();
+}
+
+void FleetHolder::Impl::takeHost(const HostRecord &record)
+{
+    FleetHost &host = dispatcher.fleet.hosts[record.host];
+    host.id = record.host;
+    host.failureDomain = record.failureDomain;
+    host.service = record.service;
+    host.labels = {record.labels.begin(), record.labels.end()};
+    host.rack = record.rack;
+    host.capacity = record.capacity;
+    host.leaving = record.condition == HostCondition::Leaving;
+    host.listed = true;
+    const auto it = links.find(record.host);
+    if (it != links.end()) {
+        it->second.endpoint = record.endpoint;
+    }
+}
+
+void FleetHolder::Impl::dropUnlisted(TimePoint now)
+{
+    for (auto it = links.begin(); it != links.end();) {
+        const FleetHost *const host = findHost(dispatcher.fleet, it->first);
+        const bool gone = host == nullptr
+            || (!host->listed && !host->reachable && now >= it->second.leaseEnd);
+        if (!gone || !accounted) {
+            ++it;
+            continue;
+        }
+        loseRuns(dispatcher, it->first, "the host left the list and its lease has lapsed", now);
+        dispatcher.fleet.hosts.erase(it->first);
+        it = links.erase(it);
+    }
+}
+
+/// Renews leases only of hosts that a later holder would find in the roster.
+void FleetHolder::Impl::openLinks()
+{
+    const TimePoint now = bootNow();
+    for (const auto &[id, endpoint] : roster.durable()) {
+        if (links.contains(id)) {
+            continue;
+        }
+        dispatcher.fleet.hosts[id].id = id;
+        HostLink &link = links[id];
+        link.id = id;
+        link.endpoint = endpoint;
+        link.leaseEnd = options.epoch > 1 ? options.previousStoppedAt + lapseTime(options.lease)
+                                          : now;
+        renew(link, milliseconds(0), now);
+    }
+}
+
+void FleetHolder::Impl::tryAccount(TimePoint now)
+{
+    if (accounted || !loaded || !roster.isRead()) {
+        return;
+    }
+    const bool lapsed =
+        options.epoch == 1 || now >= options.previousStoppedAt + lapseTime(options.lease);
+    const auto &inherited = roster.inherited();
+    const bool allReported =
+        std::all_of(inherited.begin(), inherited.end(), [this](const auto &entry) {
+            const FleetHost *const host = findHost(dispatcher.fleet, entry.first);
+            return host != nullptr && host->reported;
+        });
+    if (!lapsed && !allReported) {
+        return;
+    }
+    accounted = true;
+    accountForAll(dispatcher);
+    planSoon();
+}
+
+void FleetHolder::Impl::renew(HostLink &link, milliseconds wait, TimePoint now)
+{
+    if (!env.mayAct() || finishing) {
+        link.nextAt = now + options.hostRetry;
+        return;
+    }
+    RenewalCall renewal{.wait = wait};
+    const FleetHost *const host = findHost(dispatcher.fleet, link.id);
+    if (host != nullptr) {
+        renewal.acknowledged = host->durableEnd;
+    }
+    renewal.leaseUntil = internal::leaseUntil(link, options.lease, now);
+    if (renewal.leaseUntil) {
+        link.leaseEnd = std::max(link.leaseEnd, now + lapseTime(options.lease));
+    }
+    link.renewing = true;
+    const std::uint64_t sequence = ++link.sequence;
+    const HostCall call = callFor(link);
+    env.hosts.renew(call, renewal,
+                    guarded([this, id = link.id, sequence, token = call.token,
+                             now](const Result<HostReport> &report) {
+                        onReport(id, sequence, token, now, report);
+                    }));
+}
+
+void FleetHolder::Impl::onReport(const HostId &id, std::uint64_t sequence, std::uint64_t token,
+                                 TimePoint sentAt, const Result<HostReport> &report)
+{
+    const auto it = links.find(id);
+    FleetHost *const host = findHost(dispatcher.fleet, id);
+    if (it == links.end() || host == nullptr || sequence != it->second.sequence) {
+        return;
+    }
+    HostLink &link = it->second;
+    const TimePoint now = bootNow();
+    link.renewing = false;
+    if (!report) {
+        onSilence(link, *host, report.error(), now);
+        return;
+    }
+    if (!std::exchange(host->reachable, true) && link.failures > 0) {
+        logEvent(EventId::HostReachable, {{"host", id.value}});
+    }
+    link.failures = 0;
+    if (report->bornAt && host->bornAt && *report->bornAt != *host->bornAt) {
+        beginNewLife(link, *host, "the host began a new life", now);
+    }
+    host->bornAt = report->bornAt;
+    const bool first = !link.clock;
+    link.clock = internal::HostClock{.reading = report->hostClock, .readAt = now};
+    if (loaded) {
+        const bool fenced = token == internal::tokenOf(options.epoch, link);
+        takeReport(dispatcher, id, *report, sentAt, fenced, now);
+        link.uncertain = link.uncertain && !fenced;
+    }
+    if (first || !loaded) {
+        if (first) {
+            renew(link, milliseconds(0), now);
+        }
+        afterEvent();
+        return;
+    }
+    afterEvent();
+    renewNext(link, now);
+}
+
+void FleetHolder::Impl::onSilence(HostLink &link, FleetHost &host, const Error &error,
+                                  TimePoint now)
+{
+    if (error.code == ResultCode::StaleEpoch) {
+        env.onFenced("host " + link.id.value + " has seen a newer holder");
+        return;
+    }
+    ++link.failures;
+    if (std::exchange(host.reachable, false) || link.failures == 1) {
+        logEvent(EventId::HostUnreachable, {{"host", link.id.value}, {"reason", error.message}});
+    }
+    link.nextAt = now + options.hostRetry;
+}
+
+void FleetHolder::Impl::beginNewLife(HostLink &link, FleetHost &host, const std::string &reason,
+                                     TimePoint now)
+{
+    loseRuns(dispatcher, host.id, reason, now);
+    host.seenEnd = 0;
+    host.durableEnd = 0;
+    host.reported = false;
+    // Orders to the former life that are still on their way must not take effect in this one.
+    ++link.bump;
+    link.clock.reset();
+}
+
+void FleetHolder::Impl::renewNext(HostLink &link, TimePoint now)
+{
+    const FleetHost *const host = findHost(dispatcher.fleet, link.id);
+    if (host == nullptr || link.renewing) {
+        return;
+    }
+    if (link.uncertain) {
+        renew(link, milliseconds(0), now);
+        return;
+    }
+    if (host->seenEnd > host->durableEnd) {
+        // A renewal would return at once with the same ends; their write is on its way.
+        link.nextAt = now + options.hostRetry;
+        return;
+    }
+    renew(link, host->runs.empty() ? idleRenewalWait : options.renewalWait, now);
+}
+
+void FleetHolder::Impl::onDurable()
+{
+    const TimePoint now = bootNow();
+    for (auto &[id, link] : links) {
+        const FleetHost *const host = findHost(dispatcher.fleet, id);
+        if (host != nullptr && host->reported && host->reachable && !link.renewing) {
+            renewNext(link, now);
+        }
+    }
+}
+
+void FleetHolder::Impl::afterEvent()
+{
+    logFindings();
+    writer.flushSoon();
+    tryAccount(bootNow());
+    planSoon();
+}
+
+void FleetHolder::Impl::planSoon()
+{
+    if (std::exchange(planScheduled, true)) {
+        return;
+    }
+    env.loop.post(guarded([this] {
+        planScheduled = false;
+        planNow();
+    }));
+}
+
+void FleetHolder::Impl::planNow()
+{
+    if (!loaded || finishing || !env.mayAct()) {
+        return;
+    }
+    const TimePoint now = bootNow();
+    const Orders orders = plan(dispatcher, now);
+    for (const StopRun &order : orders.stops) {
+        sendStop(order);
+    }
+    for (const StartRun &order : orders.starts) {
+        sendStart(order, now);
+    }
+    for (const PaceRun &order : orders.paces) {
+        sendPace(order);
+    }
+}
+
+void FleetHolder::Impl::sendStart(const StartRun &order, TimePoint now)
+{
+    const auto it = links.find(order.host);
+    const auto leaseUntil = it == links.end()
+        ? std::nullopt
+        : internal::leaseUntil(it->second, options.lease, now);
+    if (!leaseUntil) {
+        takeStartOutcome(dispatcher, order, StartOutcome::Unhealthy, now);
+        return;
+    }
+    HostLink &link = it->second;
+    link.leaseEnd = std::max(link.leaseEnd, now + lapseTime(options.lease));
+    env.metrics.count("fleet_starts_total", {});
+    logEvent(EventId::TaskOrdered, {{"job", order.task.job.value},
+                                    {"task", toString(order.task)},
+                                    {"run", std::to_string(order.run)},
+                                    {"host", order.host.value},
+                                    {"resumed", order.checkpoint.empty() ? "no" : "yes"}});
+    env.hosts.start(
+        callFor(link), order, *leaseUntil,
+        guarded([this, order](StartOutcome outcome, const std::string &detail) {
+            const TimePoint answeredAt = bootNow();
+            if (outcome != StartOutcome::Started) {
+                logEvent(EventId::TaskNotStarted,
+                         {{"job", order.task.job.value},
+                          {"task", toString(order.task)},
+                          {"run", std::to_string(order.run)},
+                          {"host", order.host.value},
+                          {"outcome", std::string(startOutcomeName(outcome))},
+                          {"detail", detail}});
+            }
+            takeStartOutcome(dispatcher, order, outcome, answeredAt);
+            const auto found = links.find(order.host);
+            if (outcome == StartOutcome::Fenced && found != links.end()) {
+                // Our own newer token voids orders before it; only a foreign one is news.
+                renew(found->second, milliseconds(0), answeredAt);
+            }
+            if (outcome == StartOutcome::Unknown && found != links.end()) {
+                ++found->second.bump;
+                found->second.uncertain = true;
+                renew(found->second, milliseconds(0), answeredAt);
+            }
+            if (outcome != StartOutcome::Started) {
+                planSoon();
+            }
+        }));
+}
+
+void FleetHolder::Impl::sendStop(const StopRun &order)
+{
+    const auto it = links.find(order.host);
+    if (it == links.end()) {
+        return;
+    }
+    env.hosts.stop(callFor(it->second), order, [](const Result<void> &) {
+        // The order is repeated until the host lists the run as ended.
+    });
+}
+
+void FleetHolder::Impl::sendPace(const PaceRun &order)
+{
+    const auto it = links.find(order.host);
+    if (it == links.end()) {
+        return;
+    }
+    logEvent(EventId::TaskPaced, {{"job", order.task.job.value},
+                                  {"task", toString(order.task)},
+                                  {"host", order.host.value},
+                                  {"percent", std::to_string(order.percent)}});
+    env.hosts.pace(callFor(it->second), order, guarded([this, order](const Result<void> &result) {
+                       TaskRuntime *const task = findTask(dispatcher.fleet, order.task);
+                       if (!result && task != nullptr && task->run == order.run) {
+                           // Unknown speed; the next report orders it again.
+                           task->pace = -1;
+                       }
+                   }));
+}
+
+void FleetHolder::Impl::logFindings()
+{
+    for (const Finding &finding : std::exchange(dispatcher.findings, {})) {
+        const std::string run = std::to_string(finding.run);
+        switch (finding.kind) {
+        case Finding::Kind::RunEnded:
+            env.metrics.count("fleet_runs_ended_total", {{"end", finding.reason}});
+            logEvent(EventId::RunEnded, {{"job", finding.job.value},
+                                         {"task", finding.subject},
+                                         {"run", run},
+                                         {"host", finding.host.value},
+                                         {"end", finding.reason}});
+            break;
+        case Finding::Kind::RunLost:
+            env.metrics.count("fleet_runs_lost_total", {});
+            logEvent(EventId::RunLost, {{"job", finding.job.value},
+                                        {"task", finding.subject},
+                                        {"run", run},
+                                        {"host", finding.host.value},
+                                        {"reason", finding.reason}});
+            break;
+        case Finding::Kind::RunAdopted:
+            logEvent(EventId::RunAdopted, {{"job", finding.job.value},
+                                           {"task", finding.subject},
+                                           {"run", run},
+                                           {"host", finding.host.value}});
+            break;
+        case Finding::Kind::HostAvoided:
+            logEvent(EventId::HostAvoided,
+                     {{"host", finding.host.value}, {"reason", finding.reason}});
+            break;
+        case Finding::Kind::JobEnded: {
+            const JobRuntime *const job = findJob(dispatcher.fleet, finding.job);
+            const auto age = job == nullptr ? Duration(0) : bootNow() - job->acceptedAt;
+            env.metrics.observe("fleet_job_seconds",
+                                {{"queue", job == nullptr ? "" : job->spec.terms.queue}}, age);
+            logEvent(
+                EventId::JobEnded,
+                {{"job", finding.job.value},
+                 {"reason", finding.reason},
+                 {"age_ms",
+                  std::to_string(std::chrono::duration_cast<milliseconds>(age).count())}});
+            break;
+        }
+        }
+    }
+}
+
+void FleetHolder::Impl::tick()
+{
+    const TimePoint now = bootNow();
+    if (env.mayAct() && !finishing) {
+        for (auto &[id, link] : links) {
+            FleetHost *const host = findHost(dispatcher.fleet, id);
+            if (host == nullptr) {
+                continue;
+            }
+            if (!host->reachable && now >= link.leaseEnd && loaded) {
+                loseRuns(dispatcher, id, "the host is silent and its lease has lapsed", now);
+            }
+            if (!link.renewing && now >= link.nextAt) {
+                renew(link, milliseconds(0), now);
+            }
+        }
+        cleanUp(now);
+        afterEvent();
+    }
+    env.loop.postAfter(options.tickEvery, guarded([this] { tick(); }));
+}
+
+void FleetHolder::Impl::readNewJobs()
+{
+    env.platform.changes(jobTable, jobsVersion, Duration(0),
+                         guarded([this](const Result<RowChanges> &changes) {
+                             onJobChanges(changes);
+                             env.loop.postAfter(options.readJobsEvery,
+                                                guarded([this] { readNewJobs(); }));
+                         }));
+}
+
+void FleetHolder::Impl::onJobChanges(const Result<RowChanges> &changes)
+{
+    if (changes) {
+        for (const RowChange &change : changes->rows) {
+            if (!change.deleted) {
+                takeJobRow(change.key, change.value);
+            }
+        }
+        jobsVersion = std::max(jobsVersion, changes->version);
+        afterEvent();
+        return;
+    }
+    if (changes.error().code != ResultCode::HistoryLost) {
+        return;
+    }
+    env.platform.readTable(jobTable, guarded([this](const Result<RowSnapshot> &snapshot) {
+                               if (!snapshot) {
+                                   return;
+                               }
+                               for (const Row &row : snapshot->rows) {
+                                   takeJobRow(row.key, row.value);
+                               }
+                               jobsVersion = std::max(jobsVersion, snapshot->version);
+                               afterEvent();
+                           }));
+}
+
+void FleetHolder::Impl::takeJobRow(const std::string &key, const std::string &value)
+{
+    const TimePoint now = bootNow();
+    auto job = decodeJob(value);
+    if (job) {
+        JobProgress empty = emptyProgress(*job);
+        addJob(dispatcher, std::move(*job), std::move(empty), 0, false, now);
+        return;
+    }
+    // A cancellation carries the job's id as its value.
+    if (key == cancelRowKey({value})) {
+        cancelJob(dispatcher, {value}, now);
+        return;
+    }
+    logEvent(EventId::RowIgnored, {{"row", key}, {"reason", job.error().message}});
+}
+
+void FleetHolder::Impl::cleanUp(TimePoint now)
+{
+    std::vector<JobId> &ended = dispatcher.fleet.ended;
+    std::vector<JobId> old;
+    for (const JobId &id : ended) {
+        const JobRuntime *const job = findJob(dispatcher.fleet, id);
+        const bool forget = job != nullptr && now - job->endedAt >= options.keepEnded
+            && !dispatcher.fleet.stopping.contains(id) && !dispatcher.fleet.dirty.contains(id);
+        if (!forget || old.size() >= cleanupBatch) {
+            break;
+        }
+        old.push_back(id);
+    }
+    if (old.empty()) {
+        return;
+    }
+    Transaction transaction;
+    for (const JobId &id : old) {
+        transaction.deletes.insert(transaction.deletes.end(),
+                                   {jobRowKey(id), cancelRowKey(id), progressRowKey(id)});
+        dispatcher.fleet.jobs.erase(id);
+    }
+    ended.erase(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(old.size()));
+    env.platform.commit(std::move(transaction), [](const Result<CommitVersions> &result) {
+        if (!result) {
+            logEvent(EventId::WriteOutcomeUnknown,
+                     {{"what", "removal of old jobs"}, {"reason", result.error().message}});
+        }
+    });
+}
+
+FleetHolder::FleetHolder(FleetHolderEnvironment environment, FleetHolderOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(environment), options))
+{
+}
+
+FleetHolder::~FleetHolder() = default;
+
+void FleetHolder::start()
+{
+    m_impl->self = weak_from_this();
+    m_impl->roster.read(m_impl->guarded([impl = m_impl.get()] { impl->openLinks(); }));
+    m_impl->readState();
+    m_impl->listHosts();
+    m_impl->tick();
+}
+
+void FleetHolder::stop()
+{
+    m_impl->finishing = true;
+    m_impl->self.reset();
+    m_impl->roster.stop();
+    m_impl->writer.stop();
+}
+
+void FleetHolder::finish(std::function<void()> done)
+{
+    m_impl->finishing = true;
+    m_impl->writer.finish(std::move(done));
+}
+
+void FleetHolder::addStored(JobSpec job)
+{
+    if (!m_impl->loaded) {
+        m_impl->early.push_back(std::move(job));
+        return;
+    }
+    JobProgress empty = emptyProgress(job);
+    addJob(m_impl->dispatcher, std::move(job), std::move(empty), 0, false, bootNow());
+    m_impl->planSoon();
+}
+
+void FleetHolder::setEvacuated(std::set<FailureDomainId> domains)
+{
+    m_impl->dispatcher.fleet.evacuated = std::move(domains);
+    m_impl->planSoon();
+}
+
+void FleetHolder::state(const JobId &job, JobStateCallback callback)
+{
+    Impl &impl = *m_impl;
+    if (!impl.loaded || impl.finishing) {
+        callback(failure(ResultCode::PlatformUnavailable, "the shard is being recovered"));
+        return;
+    }
+    const JobRuntime *const runtime = findJob(impl.dispatcher.fleet, job);
+    if (runtime == nullptr) {
+        callback(failure(ResultCode::JobNotFound, "not known to the holder", job.value));
+        return;
+    }
+    const JobState state = stateOf(*runtime);
+    if (!isTerminal(state)) {
+        callback(state);
+        return;
+    }
+    impl.writer.whenDurable(job, [state, callback = std::move(callback)](bool durable) {
+        if (durable) {
+            callback(state);
+        } else {
+            callback(failure(ResultCode::PlatformUnavailable, "the end is not durable yet"));
+        }
+    });
+}
+
+void FleetHolder::cancel(const JobId &job, JobStateCallback callback)
+{
+    Impl &impl = *m_impl;
+    const bool known = impl.loaded && !impl.finishing
+        && cancelJob(impl.dispatcher, job, bootNow());
+    if (known) {
+        impl.afterEvent();
+    }
+    state(job, std::move(callback));
+}
+
+std::optional<std::size_t> FleetHolder::pending(const std::string &queue) const
+{
+    if (!m_impl->loaded) {
+        return std::nullopt;
+    }
+    return pendingJobs(m_impl->dispatcher, queue);
+}
+
+const Dispatcher &FleetHolder::dispatcher() const
+{
+    return m_impl->dispatcher;
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/fleet/holder.h
@@ -0,0 +1,94 @@
+#ifndef ACACIADEAL_FLEET_HOLDER_H
+#define ACACIADEAL_FLEET_HOLDER_H
+
+#include "dispatch/dispatcher.h"
+#include "fleet/hostport.h"
+#include "metrics/metrics.h"
+#include "store/platform.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace acaciadeal {
+
+class EventLoop;
+
+struct FleetHolderOptions
+{
+    std::uint64_t epoch = 0;
+    /// When the previous holder had provably stopped; its leases lapse counted from here.
+    TimePoint previousStoppedAt;
+    /// Lease that each renewal grants. Long enough for a takeover (claimAfter) with 1 s left, and
+    /// short, because the tasks of a host that vanished wait for it.
+    milliseconds lease{4200};
+    /// Longest time for which a renewal waits for an end.
+    milliseconds renewalWait{900};
+    /// Time for a host to answer beyond the wait; about 100 times an ordinary answer.
+    Duration hostTimeout = milliseconds(400);
+    /// Delay before a host that did not answer is asked again.
+    Duration hostRetry = milliseconds(200);
+    /// Time for which progress is gathered before it is written; bounds the store's calls.
+    Duration flushDelay = milliseconds(60);
+    /// The same if a job has ended, whose caller waits.
+    Duration urgentFlushDelay = milliseconds(4);
+    Duration listHostsEvery = milliseconds(600);
+    Duration readJobsEvery = milliseconds(1000);
+    /// Housekeeping of leases, delays and repeated orders.
+    Duration tickEvery = milliseconds(100);
+    /// Time for which ended jobs are remembered; callers may ask for 120 s.
+    Duration keepEnded = std::chrono::seconds(150);
+};
+
+/// What the holder needs from the daemon around it.
+struct FleetHolderEnvironment
+{
+    EventLoop &loop;
+    const PlatformAdapter &platform;
+    HostPort hosts;
+    Metrics &metrics;
+    /// Whether the shard is held; no order leaves otherwise.
+    std::function<bool()> mayAct;
+    /// Called when a host has seen a newer holder.
+    std::function<void(const std::string &reason)> onFenced;
+};
+
+/// Answer to a question about a job: its state, or JobNotFound, or PlatformUnavailable.
+using JobStateCallback = std::function<void(Result<JobState>)>;
+
+/// Runs the dispatcher of a shard: recovers its state, renews leases, sends orders and writes
+/// progress. Used on one control thread.
+class FleetHolder : public std::enable_shared_from_this<FleetHolder>
+{
+public:
+    FleetHolder(FleetHolderEnvironment environment, FleetHolderOptions options);
+    ~FleetHolder();
+
+    void start();
+    /// Ends all activity; callbacks in flight do nothing any more.
+    void stop();
+    /// Stops sending orders, writes what is not durable yet, then calls @p done once.
+    void finish(std::function<void()> done);
+
+    /// Takes in a job that was just stored.
+    void addStored(JobSpec job);
+    void setEvacuated(std::set<FailureDomainId> domains);
+    void state(const JobId &job, JobStateCallback callback);
+    /// Cancels durably, then answers.
+    void cancel(const JobId &job, JobStateCallback callback);
+    /// Returns the number of jobs of a queue that have not begun; nothing during recovery.
+    std::optional<std::size_t> pending(const std::string &queue) const;
+
+    const Dispatcher &dispatcher() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace acaciadeal
+
+#endif
--- /dev/null
+++ b/packages/fleet/internal/progresswriter.cpp
@@ -0,0 +1,222 @@
+#include "fleet/internal/progresswriter.h"
+
+#include "fleet/jobrows.h"
+#include "logging/log.h"
+#include "runtime/bootclock.h"
+#include "runtime/eventloop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciadeal::internal {
+namespace {
+
+/// Rows of one transaction; the store takes 100 entries, checks and writes counted.
+constexpr std::size_t jobsPerWrite = 45;
+
+} // namespace
+
+ProgressWriter::ProgressWriter(ProgressWriterEnvironment environment,
+                               const ProgressWriterOptions &options)
+    : m_env(std::move(environment))
+    , m_options(options)
+{
+}
+
+bool ProgressWriter::isClean() const
+{
+    const auto &hosts = m_env.fleet.hosts;
+    return m_env.fleet.dirty.empty()
+        && std::all_of(hosts.begin(), hosts.end(), [](const auto &entry) {
+               return entry.second.durableEnd == entry.second.seenEnd;
+           });
+}
+
+void ProgressWriter::flushSoon()
+{
+    if (m_stopped || m_writing || isClean()) {
+        return;
+    }
+    const bool urgent = !m_waiters.empty()
+        || std::any_of(m_env.fleet.dirty.begin(), m_env.fleet.dirty.end(),
+                       [this](const JobId &id) {
+                           const JobRuntime *const job = findJob(m_env.fleet, id);
+                           return job != nullptr && isTerminal(job->progress.outcome);
+                       });
+    schedule(urgent ? m_options.urgentDelay : m_options.delay);
+}
+
+void ProgressWriter::schedule(Duration delay)
+{
+    const TimePoint due = bootNow() + delay;
+    if (m_dueAt && *m_dueAt <= due) {
+        return;
+    }
+    m_dueAt = due;
+    m_env.loop.postAfter(delay, [this, due] {
+        if (m_dueAt == due && !m_stopped) {
+            m_dueAt.reset();
+            flush();
+        }
+    });
+}
+
+void ProgressWriter::flush()
+{
+    if (m_writing || !m_env.mayAct()) {
+        return;
+    }
+    Transaction transaction;
+    std::vector<JobId> jobs;
+    auto &dirty = m_env.fleet.dirty;
+    while (!dirty.empty() && jobs.size() < jobsPerWrite) {
+        const JobId id = *dirty.begin();
+        dirty.erase(dirty.begin());
+        const JobRuntime *const job = findJob(m_env.fleet, id);
+        if (job == nullptr) {
+            continue;
+        }
+        const std::string key = progressRowKey(id);
+        transaction.checks.push_back({key, job->progressVersion});
+        transaction.puts.push_back({key, encodeProgress(job->progress)});
+        jobs.push_back(id);
+    }
+    std::map<HostId, std::uint64_t> ends;
+    if (dirty.empty()) {
+        for (const auto &[id, host] : m_env.fleet.hosts) {
+            if (host.durableEnd != host.seenEnd) {
+                ends[id] = host.seenEnd;
+            }
+        }
+    }
+    if (jobs.empty()) {
+        markDurable(ends);
+        return;
+    }
+    m_writing = true;
+    m_env.platform.commit(std::move(transaction),
+                          [this, jobs, ends](const Result<CommitVersions> &result) {
+                              if (!m_stopped) {
+                                  onWritten(jobs, ends, result);
+                              }
+                          });
+}
+
+void ProgressWriter::onWritten(const std::vector<JobId> &jobs,
+                               const std::map<HostId, std::uint64_t> &ends,
+                               const Result<CommitVersions> &result)
+{
+    m_writing = false;
+    if (result) {
+        for (const JobId &id : jobs) {
+            if (JobRuntime *const job = findJob(m_env.fleet, id)) {
+                job->progressVersion = result->at(progressRowKey(id));
+            }
+        }
+        markDurable(ends);
+        flushSoon();
+        return;
+    }
+    m_env.fleet.dirty.insert(jobs.begin(), jobs.end());
+    if (result.error().code == ResultCode::CheckFailed) {
+        mergeRow(result.error().where);
+        return;
+    }
+    logEvent(EventId::WriteOutcomeUnknown,
+             {{"what", "progress of " + std::to_string(jobs.size()) + " jobs"},
+              {"reason", result.error().message}});
+    schedule(m_options.retryDelay);
+}
+
+/// Takes over a row that differs from what was expected: an own write whose answer was lost, or a
+/// late write of an earlier holder.
+void ProgressWriter::mergeRow(const std::string &key)
+{
+    m_env.platform.read({.keys = {key}}, [this, key](const Result<std::vector<Row>> &rows) {
+        if (m_stopped) {
+            return;
+        }
+        const JobId id{key.substr(key.find('/') + 1)};
+        JobRuntime *const job = findJob(m_env.fleet, id);
+        if (rows && job != nullptr) {
+            job->progressVersion = rows->empty() ? 0 : rows->front().version;
+            if (!rows->empty()) {
+                if (const auto stored = decodeProgress(job->spec, rows->front().value)) {
+                    merge(job->progress, *stored);
+                } else {
+                    logEvent(EventId::RowIgnored,
+                             {{"row", key}, {"reason", stored.error().message}});
+                }
+            }
+        }
+        schedule(m_options.urgentDelay);
+    });
+}
+
+void ProgressWriter::markDurable(const std::map<HostId, std::uint64_t> &ends)
+{
+    for (const auto &[id, number] : ends) {
+        FleetHost *const host = findHost(m_env.fleet, id);
+        // A host that began a new life counts from 1 again.
+        if (host != nullptr && number <= host->seenEnd) {
+            host->durableEnd = std::max(host->durableEnd, number);
+        }
+    }
+    answerWaiters();
+    m_env.onDurable();
+    if (m_finished && m_env.fleet.dirty.empty()) {
+        std::exchange(m_finished, nullptr)();
+    }
+}
+
+void ProgressWriter::answerWaiters()
+{
+    std::vector<Waiter> durable;
+    std::erase_if(m_waiters, [&](Waiter &waiter) {
+        if (m_env.fleet.dirty.contains(waiter.job)) {
+            return false;
+        }
+        durable.push_back(std::move(waiter));
+        return true;
+    });
+    for (const Waiter &waiter : durable) {
+        waiter.callback(true);
+    }
+}
+
+void ProgressWriter::whenDurable(const JobId &job, std::function<void(bool)> callback)
+{
+    if (m_stopped) {
+        callback(false);
+        return;
+    }
+    if (!m_env.fleet.dirty.contains(job) && !m_writing) {
+        callback(true);
+        return;
+    }
+    m_waiters.push_back({job, std::move(callback)});
+    flushSoon();
+}
+
+void ProgressWriter::finish(std::function<void()> done)
+{
+    if (m_stopped || (m_env.fleet.dirty.empty() && !m_writing) || !m_env.mayAct()) {
+        done();
+        return;
+    }
+    m_finished = std::move(done);
+    schedule(Duration(0));
+}
+
+void ProgressWriter::stop()
+{
+    m_stopped = true;
+    for (const Waiter &waiter : std::exchange(m_waiters, {})) {
+        waiter.callback(false);
+    }
+    if (m_finished) {
+        std::exchange(m_finished, nullptr)();
+    }
+}
+
+} // namespace acaciadeal::internal
--- /dev/null
+++ b/packages/fleet/jobrows.cpp
@@ -0,0 +1,76 @@
+#include "fleet/jobrows.h"
+
+#include <set>
+
+namespace acaciadeal {
+namespace {
+
+constexpr const char *cancelSuffix = "!cancel";
+
+} // namespace
+
+std::string jobRowKey(const JobId &job)
+{
+    return std::string(jobTable) + "/" + job.value;
+}
+
+std::string cancelRowKey(const JobId &job)
+{
+    return jobRowKey(job) + cancelSuffix;
+}
+
+std::string progressRowKey(const JobId &job)
+{
+    return std::string(progressTable) + "/" + job.value;
+}
+
+std::vector<StoredJob> joinJobRows(const std::vector<Row> &jobRows,
+                                   const std::vector<Row> &progressRows,
+                                   std::vector<Error> &ignored)
+{
+    std::set<std::string> cancelled;
+    for (const Row &row : jobRows) {
+        if (row.key.ends_with(cancelSuffix)) {
+            cancelled.insert(row.key);
+        }
+    }
+    std::unordered_map<std::string, const Row *> progressByKey;
+    for (const Row &row : progressRows) {
+        progressByKey[row.key] = &row;
+    }
+    std::vector<StoredJob> jobs;
+    for (const Row &row : jobRows) {
+        if (row.key.ends_with(cancelSuffix)) {
+            continue;
+        }
+        auto spec = decodeJob(row.value);
+        if (!spec) {
+            ignored.push_back({spec.error().code, spec.error().message, row.key});
+            continue;
+        }
+        StoredJob job{.spec = std::move(*spec)};
+        job.progress = emptyProgress(job.spec);
+        job.cancelled = cancelled.contains(cancelRowKey(job.spec.id));
+        const auto it = progressByKey.find(progressRowKey(job.spec.id));
+        if (it != progressByKey.end()) {
+            job.progressVersion = it->second->version;
+            if (auto progress = decodeProgress(job.spec, it->second->value)) {
+                job.progress = std::move(*progress);
+            } else {
+                ignored.push_back(progress.error());
+            }
+        }
+        jobs.push_back(std::move(job));
+    }
+    return jobs;
+}
+
+JobState storedState(const StoredJob &job)
+{
+    if (isTerminal(job.progress.outcome)) {
+        return job.progress.outcome;
+    }
+    return job.cancelled ? JobState::Cancelled : JobState::Running;
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/fleet/operatorwatch.h
@@ -0,0 +1,54 @@
+#ifndef ACACIADEAL_FLEET_OPERATORWATCH_H
+#define ACACIADEAL_FLEET_OPERATORWATCH_H
+
+#include "fleet/operatorport.h"
+#include "store/platform.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace acaciadeal {
+
+class EventLoop;
+
+struct OperatorWatchOptions
+{
+    /// Longest wait of one feed call. A feed that went silent without an error is noticed after it.
+    Duration feedWait = milliseconds(1000);
+    Duration retryDelay = milliseconds(150);
+};
+
+/// Follows the operators' rows. A configuration never goes back to an older version. Used on one
+/// control thread; must outlive its loop's callbacks.
+class OperatorWatch
+{
+public:
+    OperatorWatch(EventLoop &loop, const PlatformAdapter &platform, OperatorRowsPort port,
+                  const OperatorWatchOptions &options, std::function<void()> onChange);
+
+    void start();
+    /// Returns what is in force, or nullptr before the first configuration was read.
+    const OperatorView *view() const;
+
+private:
+    void readAll();
+    void follow();
+    void take(const std::string &key, const std::string &value, bool deleted);
+    void setLost(bool lost, const std::string &reason);
+
+    EventLoop &m_loop;
+    const PlatformAdapter &m_platform;
+    OperatorRowsPort m_port;
+    OperatorWatchOptions m_options;
+    std::function<void()> m_onChange;
+    std::optional<OperatorView> m_view;
+    std::set<FailureDomainId> m_evacuated;
+    std::uint64_t m_version = 0;
+    bool m_lost = false;
+};
+
+} // namespace acaciadeal
+
+#endif
--- /dev/null
+++ b/packages/fleet/ownership.h
@@ -0,0 +1,108 @@
+#ifndef ACACIADEAL_FLEET_OWNERSHIP_H
+#define ACACIADEAL_FLEET_OWNERSHIP_H
+
+#include "base/identifier.h"
+#include "http/httpmessage.h"
+#include "store/platform.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace acaciadeal {
+
+class EventLoop;
+
+/// Row that names a shard's holder; it changes only when the holder does.
+struct OwnerRecord
+{
+    std::uint64_t epoch = 0;
+    DaemonId daemon;
+    /// Start of the holder's process, which tells its lives apart.
+    std::uint64_t incarnation = 0;
+    Endpoint peer;
+    bool released = false;
+};
+
+std::string encodeOwner(const OwnerRecord &owner);
+/// Errors: CorruptSnapshot.
+Result<OwnerRecord> decodeOwner(const std::string &text);
+
+struct OwnershipOptions
+{
+    std::string shard = "main";
+    DaemonId daemon;
+    std::uint64_t incarnation = 0;
+    Endpoint peer;
+    /// Period of the holder's sign of life; four fit into validFor, so one lost answer is harmless.
+    Duration renewEvery = milliseconds(600);
+    /// Time after a confirmed sign of life was sent for which the holder may act.
+    Duration validFor = milliseconds(2600);
+    /// Time without a sign of life after which others claim. More than validFor, so that the holder
+    /// has stopped by its own clock, with 4% for clocks that drift apart.
+    Duration claimAfter = milliseconds(2800);
+    Duration pollEvery = milliseconds(400);
+    Duration retryDelay = milliseconds(150);
+};
+
+struct OwnershipCallbacks
+{
+    /// This daemon holds the shard from now on; @p since is when the previous holder had stopped.
+    std::function<void(std::uint64_t epoch, TimePoint since)> onHeld;
+    /// Another daemon holds it, or may.
+    std::function<void(const std::string &reason)> onLost;
+};
+
+/// Claims a shard in the platform's store and keeps it. Used on one control thread.
+class ShardOwnership
+{
+public:
+    ShardOwnership(EventLoop &loop, const PlatformAdapter &platform, OwnershipOptions options,
+              OwnershipCallbacks callbacks);
+
+    void start();
+    /// Returns whether this daemon holds the shard and may act now: no other daemon can have
+    /// claimed it, by this daemon's clock.
+    bool mayAct() const;
+    /// Returns the holder as last read; epoch 0 if there is none.
+    const OwnerRecord &holder() const;
+    /// Stops acting and marks the shard as free to claim, then calls @p done once.
+    /// Does not claim again.
+    void release(std::function<void()> done);
+    /// Gives the shard up because a host has seen a newer holder.
+    void depose(const std::string &reason);
+
+private:
+    void poll();
+    void onRows(const Result<RowSnapshot> &snapshot, TimePoint sentAt);
+    void judge(TimePoint now);
+    void claim(TimePoint now);
+    void onClaimed(const Result<CommitVersions> &result, TimePoint sentAt);
+    void renew();
+    void onRenewed(const Result<CommitVersions> &result, TimePoint sentAt);
+    void scheduleNext(Duration delay);
+    std::string ownerKey() const;
+    std::string aliveKey() const;
+
+    EventLoop &m_loop;
+    const PlatformAdapter &m_platform;
+    OwnershipOptions m_options;
+    OwnershipCallbacks m_callbacks;
+    OwnerRecord m_owner;
+    std::uint64_t m_ownerVersion = 0;
+    std::uint64_t m_aliveVersion = 0;
+    /// When the current alive version was seen first.
+    TimePoint m_aliveSeenAt;
+    bool m_held = false;
+    bool m_stopped = false;
+    bool m_storeLost = false;
+    TimePoint m_confirmedAt;
+    std::uint64_t m_renewals = 0;
+    /// Only the newest timer counts.
+    std::uint64_t m_timerChain = 0;
+};
+
+} // namespace acaciadeal
+
+#endif
--- a/packages/settings/daemonsettings.cpp
+++ b/packages/settings/daemonsettings.cpp
@@ -186,6 +186,23 @@
     inner.refuseUnknown();
 }
 
+void readFleet(ObjectReader &reader, DaemonSettings &settings, Error &error)
+{
+    const json *fleet = reader.find("fleet");
+    if (fleet == nullptr) {
+        return;
+    }
+    ObjectReader inner(*fleet, "/fleet", error);
+    FleetSettings read;
+    read.adapter = inner.requiredText("adapter");
+    read.readyListen = inner.endpoint("ready_listen", inner.requiredText("ready_listen"));
+    if (inner.find("metrics_listen") != nullptr) {
+        read.metricsListen = inner.endpoint("metrics_listen", inner.requiredText("metrics_listen"));
+    }
+    inner.refuseUnknown();
+    settings.fleet = std::move(read);
+}
+
 void readTokens(ObjectReader &reader, DaemonSettings &settings, Error &error)
 {
     const json *tokens = reader.find("tokens");
@@ -265,6 +282,7 @@
     settings.routingPolicy = reader.text("routing_policy", settings.routingPolicy);
     settings.placementPolicy = reader.text("placement_policy", settings.placementPolicy);
     readTokens(reader, settings, error);
+    readFleet(reader, settings, error);
     reader.refuseUnknown();
     if (error.code == ResultCode::Ok) {
         checkCombinations(reader, settings);
--- a/packages/settings/daemonsettings.h
+++ b/packages/settings/daemonsettings.h
@@ -7,11 +7,23 @@
 #include "http/httpmessage.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace acaciadeal {
 
+/// Settings of a daemon that schedules over the hosts of a users' platform.
+struct FleetSettings
+{
+    /// Plug-in that translates the platform's words.
+    std::string adapter;
+    /// Address that answers the balancer's probes.
+    Endpoint readyListen;
+    /// Address of the metrics; port 0 if they are not served.
+    Endpoint metricsListen;
+};
+
 /// Settings that a daemon reads from its file at start. Everything that may change while it runs is
 /// in the settings tree instead.
 struct DaemonSettings
@@ -38,6 +50,8 @@
     std::string placementPolicy = "spread-reserve";
     /// Team tokens by token text; the team "system" may write everything.
     std::map<std::string, TeamId> tokens;
+    /// Set for a daemon that schedules over the hosts of a users' platform.
+    std::optional<FleetSettings> fleet;
 };
 
 /// Parses a settings file: JSON with comments. Errors: SyntaxError with line and column, and
--- a/packages/platform/codec.h
+++ b/packages/store/codec.h
@@ -1,7 +1,7 @@
-#ifndef ACACIADEAL_PLATFORM_CODEC_H
-#define ACACIADEAL_PLATFORM_CODEC_H
+#ifndef ACACIADEAL_STORE_CODEC_H
+#define ACACIADEAL_STORE_CODEC_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 
 namespace acaciadeal {
 
--- a/packages/platform/codec_test.cpp
+++ b/packages/store/codec_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/codec.h"
+#include "store/codec.h"
 
 #include <doctest/doctest.h>
 
--- a/packages/platform/definitecommit.cpp
+++ b/packages/store/definitecommit.cpp
@@ -1,4 +1,4 @@
-#include "platform/definitecommit.h"
+#include "store/definitecommit.h"
 
 #include "runtime/eventloop.h"
 
--- a/packages/platform/definitecommit.h
+++ b/packages/store/definitecommit.h
@@ -1,7 +1,7 @@
-#ifndef ACACIADEAL_PLATFORM_DEFINITECOMMIT_H
-#define ACACIADEAL_PLATFORM_DEFINITECOMMIT_H
+#ifndef ACACIADEAL_STORE_DEFINITECOMMIT_H
+#define ACACIADEAL_STORE_DEFINITECOMMIT_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <functional>
 
--- a/packages/platform/definitecommit_test.cpp
+++ b/packages/store/definitecommit_test.cpp
@@ -1,5 +1,5 @@
 #include "kernel/pluginregistry.h"
-#include "platform/definitecommit.h"
+#include "store/definitecommit.h"
 #include "runtime/eventloop.h"
 
 #include <doctest/doctest.h>
--- a/packages/platform/httpplatform.cpp
+++ b/packages/store/httpplatform.cpp
@@ -1,7 +1,7 @@
 #include "http/httpclient.h"
 #include "kernel/pluginregistry.h"
-#include "platform/codec.h"
-#include "platform/platform.h"
+#include "store/codec.h"
+#include "store/platform.h"
 
 #include <memory>
 #include <mutex>
--- a/packages/platform/httpplatform_test.cpp
+++ b/packages/store/httpplatform_test.cpp
@@ -1,6 +1,6 @@
 #include "http/httpserver.h"
 #include "kernel/pluginregistry.h"
-#include "platform/codec.h"
+#include "store/codec.h"
 #include "runtime/eventloop.h"
 
 #include <doctest/doctest.h>
--- a/packages/platform/memoryplatform.cpp
+++ b/packages/store/memoryplatform.cpp
@@ -1,6 +1,6 @@
 #include "kernel/pluginregistry.h"
-#include "platform/memorytable.h"
-#include "platform/platform.h"
+#include "store/memorytable.h"
+#include "store/platform.h"
 #include "runtime/eventloop.h"
 
 #include <memory>
--- a/packages/platform/memorytable.cpp
+++ b/packages/store/memorytable.cpp
@@ -1,4 +1,4 @@
-#include "platform/memorytable.h"
+#include "store/memorytable.h"
 
 namespace acaciadeal {
 
--- a/packages/platform/memorytable.h
+++ b/packages/store/memorytable.h
@@ -1,7 +1,7 @@
-#ifndef ACACIADEAL_PLATFORM_MEMORYTABLE_H
-#define ACACIADEAL_PLATFORM_MEMORYTABLE_H
+#ifndef ACACIADEAL_STORE_MEMORYTABLE_H
+#define ACACIADEAL_STORE_MEMORYTABLE_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <map>
 #include <string>
--- a/packages/platform/memorytable_test.cpp
+++ b/packages/store/memorytable_test.cpp
@@ -1,5 +1,5 @@
 #include "kernel/pluginregistry.h"
-#include "platform/memorytable.h"
+#include "store/memorytable.h"
 
 #include <doctest/doctest.h>
 
--- a/packages/platform/platform.h
+++ b/packages/store/platform.h
@@ -1,5 +1,5 @@
-#ifndef ACACIADEAL_PLATFORM_PLATFORM_H
-#define ACACIADEAL_PLATFORM_PLATFORM_H
+#ifndef ACACIADEAL_STORE_PLATFORM_H
+#define ACACIADEAL_STORE_PLATFORM_H
 
 #include "base/error.h"
 #include "base/identifier.h"
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,10 +85,37 @@
     ServiceId service;
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
+    /// Kind of the host and other marks that tasks may require.
+    std::vector<std::string> labels;
+    /// Start of the host's current life as time of day; absent if the list does not say.
+    std::optional<milliseconds> bornAt;
 
     friend bool operator==(const HostRecord &, const HostRecord &) = default;
 };
 
+/// One row that was written or deleted.
+struct RowChange
+{
+    std::string key;
+    std::string value;
+    bool deleted = false;
+};
+
+struct RowChanges
+{
+    /// In the order of their versions; empty if nothing changed in time.
+    std::vector<RowChange> rows;
+    /// Version up to which the changes are complete.
+    std::uint64_t version = 0;
+};
+
+/// Rows as of one moment.
+struct RowSnapshot
+{
+    std::vector<Row> rows;
+    std::uint64_t version = 0;
+};
+
 /// Result of a commit. CheckFailed: nothing was written; the error's `where` names the key.
 /// WriteOutcomeUnknown: the write may have taken effect, now or later.
 /// PlatformUnavailable: the transaction provably was not handed over.
@@ -95,6 +123,8 @@
 using ReadCallback = std::function<void(Result<std::vector<Row>>)>;
 using ObjectCallback = std::function<void(Result<std::string>)>;
 using DoneCallback = std::function<void(Result<void>)>;
+using ChangesCallback = std::function<void(Result<RowChanges>)>;
+using SnapshotCallback = std::function<void(Result<RowSnapshot>)>;
 using HostsCallback = std::function<void(Result<std::vector<HostRecord>>)>;
 
 /// The platform's services. All functions return at once and are thread-safe. Callbacks run exactly
@@ -106,6 +136,13 @@
     std::function<void(std::string name, std::string content, DoneCallback)> putObject;
     std::function<void(std::string name, ObjectCallback)> getObject;
     std::function<void(HostsCallback)> listHosts;
+    /// Reads all rows of a table with the version from which changes() continues. A table is the
+    /// part of a key before the first '/'. Empty in adapters without a feed, like changes().
+    std::function<void(std::string table, SnapshotCallback)> readTable;
+    /// Returns the changes of a table after a version, waiting up to @c wait for the first one.
+    /// Errors: HistoryLost if the platform no longer has them; then read the table again.
+    std::function<void(std::string table, std::uint64_t after, Duration wait, ChangesCallback)>
+        changes;
 };
 
 struct PlatformOptions
--- a/tests/failure/cluster.cpp
+++ b/tests/failure/cluster.cpp
@@ -1,6 +1,6 @@
 #include "failure/cluster.h"
 
-#include "platform/codec.h"
+#include "store/codec.h"
 
 #include <algorithm>
 #include <csignal>
--- a/tests/golden/session.cpp
+++ b/tests/golden/session.cpp
@@ -3,7 +3,7 @@
 #include "base/hash.h"
 #include "daemon/rowkeys.h"
 #include "kernel/pluginregistry.h"
-#include "platform/codec.h"
+#include "store/codec.h"
 #include "state/codec.h"
 
 #include <algorithm>
--- a/tests/golden/session.h
+++ b/tests/golden/session.h
@@ -2,7 +2,7 @@
 #define ACACIADEAL_GOLDEN_SESSION_H
 
 #include "embedded/worker.h"
-#include "platform/memorytable.h"
+#include "store/memorytable.h"
 #include "scheduling/holder.h"
 
 #include <map>
--- a/tests/standins/deployment.h
+++ b/tests/standins/deployment.h
@@ -1,7 +1,7 @@
 #ifndef ACACIADEAL_STANDINS_DEPLOYMENT_H
 #define ACACIADEAL_STANDINS_DEPLOYMENT_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <string>
 #include <vector>
--- a/tests/standins/workersmain.cpp
+++ b/tests/standins/workersmain.cpp
@@ -1,6 +1,6 @@
 #include "embedded/worker.h"
 #include "http/httprouter.h"
-#include "platform/codec.h"
+#include "store/codec.h"
 #include "runtime/eventloop.h"
 #include "standins/controlroutes.h"
 #include "standins/deployment.h"
