Learn which images disturb each other, and pack serving tasks

Cause: serving tasks were spread over all hosts, so batch tasks ran beside them everywhere, and each tail near its target slowed every batch task there.

Change: a filter learns the slope of each pair; serving tasks are packed, urgent tasks fill the gaps, batch tasks keep away from pairs that disturb, and only those are slowed.

Ruled out: a lower use of committed processors by serving tasks (measured: 0.98 of them are taken).

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -386,7 +386,7 @@
         takeActive(dispatcher, *state, active, now);
     }
     loseUnlisted(dispatcher, *state, report, sentAt, fenced, now);
-    updateTailRatio(dispatcher.fleet, *state);
+    learnFromHost(dispatcher.fleet, *state);
     adjustPace(*state, now);
     orderPaces(dispatcher.fleet, *state, dispatcher.paces);
     state->reported = true;
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/fleetstate.h"
 
+#include <utility>
+
 namespace acaciadeal {
 namespace {
 
@@ -18,9 +20,9 @@
 
 } // namespace
 
-TaskRuntime *findTask(FleetState &fleet, const TaskKey &task)
+const TaskRuntime *findTask(const FleetState &fleet, const TaskKey &task)
 {
-    JobRuntime *const job = findJob(fleet, task.job);
+    const JobRuntime *const job = findJob(fleet, task.job);
     if (job == nullptr || task.occurrence != 0 || task.step >= job->steps.size()
         || task.index >= job->steps[task.step].tasks.size()) {
         return nullptr;
@@ -28,12 +30,22 @@
     return &job->steps[task.step].tasks[task.index];
 }
 
-JobRuntime *findJob(FleetState &fleet, const JobId &job)
+TaskRuntime *findTask(FleetState &fleet, const TaskKey &task)
+{
+    return const_cast<TaskRuntime *>(findTask(std::as_const(fleet), task));
+}
+
+const JobRuntime *findJob(const FleetState &fleet, const JobId &job)
 {
     const auto it = fleet.jobs.find(job);
     return it == fleet.jobs.end() ? nullptr : it->second.get();
 }
 
+JobRuntime *findJob(FleetState &fleet, const JobId &job)
+{
+    return const_cast<JobRuntime *>(findJob(std::as_const(fleet), job));
+}
+
 FleetHost *findHost(FleetState &fleet, const HostId &host)
 {
     const auto it = fleet.hosts.find(host);
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -4,6 +4,7 @@
 #include "base/identifier.h"
 #include "base/resources.h"
 #include "base/time.h"
+#include "dispatch/interference.h"
 #include "dispatch/taskrun.h"
 #include "jobs/jobprogress.h"
 #include "jobs/jobspec.h"
@@ -112,7 +113,7 @@
     /// Sum of the runs' sizes; processors of backfill tasks are counted apart.
     Resources committed;
     std::int64_t backfillMilliCores = 0;
-    /// Part of committed processors that belongs to tasks with a tail target.
+    /// Part of the committed processors that belongs to tasks with a tail target.
     std::int64_t servingMilliCores = 0;
     /// Highest end number that was taken in, and the highest whose effect is durable.
     std::uint64_t seenEnd = 0;
@@ -133,6 +134,7 @@
     std::unordered_map<JobId, std::unique_ptr<JobRuntime>> jobs;
     std::map<HostId, FleetHost> hosts;
     std::set<FailureDomainId> evacuated;
+    InterferenceModel interference;
     /// Jobs that are not in a terminal state.
     std::vector<JobRuntime *> live;
     /// Jobs in a terminal state of which a run may still be present.
@@ -147,7 +149,9 @@
 
 /// Returns the task's runtime record, or nullptr if there is no such job or task.
 TaskRuntime *findTask(FleetState &fleet, const TaskKey &task);
+const TaskRuntime *findTask(const FleetState &fleet, const TaskKey &task);
 JobRuntime *findJob(FleetState &fleet, const JobId &job);
+const JobRuntime *findJob(const FleetState &fleet, const JobId &job);
 FleetHost *findHost(FleetState &fleet, const HostId &host);
 
 /// Returns the state as callers see it.
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -30,36 +30,55 @@
         && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
 }
 
-double idleMilliCores(const FleetHost &host)
+/// Packs serving tasks: fuller hosts first, and hosts with batch tasks last.
+double servingScore(const FleetHost &host, double capacity, double freeAfter)
 {
-    const double used = static_cast<double>(host.committed.milliCores)
-        - (1.0 - servingUse) * static_cast<double>(host.servingMilliCores);
-    return static_cast<double>(host.capacity.milliCores) - used
-        - static_cast<double>(host.backfillMilliCores);
+    return 3.0 - freeAfter / capacity
+        - static_cast<double>(host.backfillMilliCores) / capacity
+        + (host.servingMilliCores > 0 ? 1.0 : 0.0);
+}
+
+/// Uses the gaps between packed serving tasks before the hosts that batch tasks live on.
+double urgentScore(const FleetHost &host, double capacity, double freeAfter)
+{
+    return 2.0 + (host.servingMilliCores > 0 ? 1.0 : 0.0) - freeAfter / capacity
+        - static_cast<double>(host.backfillMilliCores) / capacity;
+}
+
+double backfillScore(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
+                     double capacity)
+{
+    const double idle = static_cast<double>(host.capacity.milliCores - host.committed.milliCores
+                                            - host.backfillMilliCores);
+    const auto need = static_cast<double>(step.taskSize.milliCores);
+    if (idle < minBackfillShare * need) {
+        return -1;
+    }
+    const double tail = expectedTailRatio(fleet, host, step.image, need / capacity);
+    if (tail > maxExpectedTailRatio) {
+        return -1;
+    }
+    return 2.0 + std::min(1.0, idle / need) - tail + idle / capacity;
 }
 
 /// Returns how well @p host suits; negative if it has no room.
-double scoreOf(const FleetHost &host, const StepSpec &step)
+double scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step)
 {
     Resources need = step.taskSize;
-    const auto capacity = static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
     if (step.backfill) {
         need.milliCores = 0;
     }
     if (!fits(host.committed + need, host.capacity)) {
         return -1;
     }
-    if (!step.backfill) {
-        const auto freeAfter = static_cast<double>(
-            host.capacity.milliCores - host.committed.milliCores - need.milliCores);
-        return 1.0 + freeAfter / capacity;
-    }
-    const double idle = idleMilliCores(host);
-    if (idle < minBackfillShare * static_cast<double>(step.taskSize.milliCores)
-        || host.tailRatio >= crowdedTailRatio) {
-        return -1;
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
+    if (step.backfill) {
+        return backfillScore(fleet, host, step, capacity);
     }
-    return 1.0 + idle / capacity * (1.0 - host.tailRatio) * host.pace / 100.0;
+    const auto freeAfter = static_cast<double>(host.capacity.milliCores - host.committed.milliCores
+                                               - need.milliCores);
+    return step.tailTarget.count() > 0 ? servingScore(host, capacity, freeAfter)
+                                       : urgentScore(host, capacity, freeAfter);
 }
 
 } // namespace
@@ -87,7 +106,7 @@
         if (!isEligible(fleet, host, job.spec.terms.service, spec, now)) {
             continue;
         }
-        double score = scoreOf(host, spec);
+        double score = scoreOf(fleet, host, spec);
         if (score < 0) {
             continue;
         }
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -5,14 +5,11 @@
 
 namespace acaciadeal {
 
-/// Share of the processors committed to a task with a tail target that it uses on average. Such
-/// tasks are sized for their peak; what they leave idle is open to backfill tasks.
-inline constexpr double servingUse = 0.5;
-/// Idle share of a backfill task's processors that a host must have left. Below it a task runs
-/// slower than it would by waiting for one of the tasks there to end.
+/// Part of a backfill task's processors that a host must have left. Below it a task runs slower
+/// than it would by waiting for one of the tasks there to end.
 inline constexpr double minBackfillShare = 0.7;
-/// Tail-to-target ratio from which a host gets no more backfill tasks.
-inline constexpr double crowdedTailRatio = 0.8;
+/// Tail-to-target ratio that a backfill task may bring a serving task to.
+inline constexpr double maxExpectedTailRatio = 0.85;
 
 /// Returns whether any host, however busy, could ever run a task of @p step.
 bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step);
@@ -20,9 +17,10 @@
 /// Chooses the host for one task of @p job's step @p step, or nullptr if none has room now.
 ///
 /// Load pattern: serving tasks hold most processors for long, urgent short tasks arrive in bunches
-/// and need theirs whole, and batch tasks live on what is idle. Urgent and serving tasks go to the
-/// host with the largest free share, so that bunches spread; backfill tasks go where most
-/// processors are idle and the tails are furthest below their targets.
+/// and need theirs whole, and batch tasks live on what is idle but disturb what serves beside them.
+/// Serving tasks are packed onto as few hosts as possible, so that whole hosts stay free of them;
+/// urgent tasks fill the gaps of the packed hosts first; batch tasks go to hosts without serving
+/// tasks, and beside those only where the pair of images is known not to disturb.
 FleetHost *chooseHost(FleetState &fleet, const JobRuntime &job, std::uint32_t step,
                       const TaskRuntime &task, TimePoint now);
 
