Decide at the door whether a batch job can still meet its objective

Change: the holder judges each job by the work ahead of it and the idle processors; a rejected caller learns when to come back. Room for short tasks is kept free of long-running ones, and the pace follows the learned model.

--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -66,6 +66,8 @@
     LogLinesDropped = 8016,
     TaskPaced = 8017,
     JobInquired = 8018,
+    FleetStatus = 8019,
+    JobOffered = 8020,
 };
 
 /// One row of the event catalogue.
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -34,8 +34,10 @@
 }
 
 /// Frees the host and lets the task wait again. The checkpoint of the run is kept.
-void returnToWaiting(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task)
+void returnToWaiting(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
+                     TimePoint now)
 {
+    task.since = now;
     if (FleetHost *const host = findHost(dispatcher.fleet, task.host)) {
         const auto it = host->runs.find(key);
         if (it != host->runs.end() && it->second == task.run) {
@@ -70,7 +72,7 @@
 void completeTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
                   TimePoint now)
 {
-    returnToWaiting(dispatcher, job, key, task);
+    returnToWaiting(dispatcher, job, key, task, now);
     task.phase = TaskPhase::Done;
     --job.steps[key.step].waiting;
     StepProgress &progress = job.progress.steps[key.step];
@@ -82,7 +84,7 @@
             TaskRuntime &member = job.steps[key.step].tasks[n];
             if (member.phase != TaskPhase::Done) {
                 progress.done[n] = true;
-                returnToWaiting(dispatcher, job, {key.job, key.occurrence, key.step, n}, member);
+                returnToWaiting(dispatcher, job, {key.job, key.occurrence, key.step, n}, member, now);
                 member.phase = TaskPhase::Done;
                 --job.steps[key.step].waiting;
             }
@@ -105,7 +107,7 @@
               TimePoint now)
 {
     const HostId host = task.host;
-    returnToWaiting(dispatcher, job, key, task);
+    returnToWaiting(dispatcher, job, key, task, now);
     task.failedOn = host;
     if (stepOf(job, key).longRunning) {
         return;
@@ -174,7 +176,7 @@
         judgeHost(dispatcher, host, task->failedOn.empty(), now);
         failTask(dispatcher, *job, ended.task, *task, now);
     } else {
-        returnToWaiting(dispatcher, *job, ended.task, *task);
+        returnToWaiting(dispatcher, *job, ended.task, *task, now);
     }
 }
 
@@ -244,10 +246,9 @@
                               .host = host.id,
                               .run = run,
                               .reason = confirmed ? "not listed any more" : "never started"});
-            returnToWaiting(dispatcher, *job, key, *task);
+            returnToWaiting(dispatcher, *job, key, *task, now);
         }
     }
-    (void)now;
 }
 
 /// Returns whether the task still occupies a host.
@@ -310,7 +311,10 @@
             continue;
         }
         FleetHost *const host = chooseHost(dispatcher.fleet, job, ready.step, task, now);
-        if (host == nullptr) {
+        if (host == nullptr
+            || (job.spec.steps[ready.step].longRunning
+                && !mayTakeForLong(dispatcher.fleet, *host, job.spec.steps[ready.step],
+                                   now - task.since))) {
             return;
         }
         startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
@@ -322,6 +326,7 @@
 void addJob(Dispatcher &dispatcher, JobSpec spec, JobProgress progress,
             std::uint64_t progressVersion, bool unaccounted, TimePoint now)
 {
+    dispatcher.fleet.offered.erase(spec.id);
     if (dispatcher.fleet.jobs.contains(spec.id)) {
         return;
     }
@@ -337,7 +342,7 @@
     job->objective = now + allowed + job->spec.terms.targetLatency;
     for (std::size_t n = 0; n < job->spec.steps.size(); ++n) {
         StepRuntime step;
-        step.tasks.resize(job->spec.steps[n].tasks);
+        step.tasks.resize(job->spec.steps[n].tasks, TaskRuntime{.since = now});
         for (std::size_t task = 0; task < step.tasks.size(); ++task) {
             if (job->progress.steps[n].done[task]) {
                 step.tasks[task].phase = TaskPhase::Done;
@@ -387,7 +392,7 @@
     }
     loseUnlisted(dispatcher, *state, report, sentAt, fenced, now);
     learnFromHost(dispatcher.fleet, *state);
-    adjustPace(*state, now);
+    adjustPace(dispatcher.fleet, *state, now);
     orderPaces(dispatcher.fleet, *state, dispatcher.paces);
     state->reported = true;
 }
@@ -425,7 +430,7 @@
     default:
         break;
     }
-    returnToWaiting(dispatcher, *job, order.task, *task);
+    returnToWaiting(dispatcher, *job, order.task, *task, now);
     // The same choice at once would likely meet the same refusal.
     task->notBefore = now + milliseconds(50);
     task->failedOn = order.host;
@@ -450,13 +455,12 @@
                           .host = host,
                           .run = run,
                           .reason = reason});
-        returnToWaiting(dispatcher, *job, key, *task);
+        returnToWaiting(dispatcher, *job, key, *task, now);
     }
     state->runs.clear();
     state->committed = {};
     state->backfillMilliCores = 0;
     state->servingMilliCores = 0;
-    (void)now;
 }
 
 void accountForAll(Dispatcher &dispatcher)
@@ -472,6 +476,7 @@
     orders.stops = std::move(dispatcher.strayStops);
     dispatcher.strayStops.clear();
     stopEndedJobs(dispatcher, orders, now);
+    updateUrgentDemand(dispatcher.fleet, now);
     for (const ReadyStep &ready : readySteps(dispatcher.fleet, now)) {
         startStep(dispatcher, ready, orders, now);
     }
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -60,6 +60,37 @@
     return job.begun ? JobState::Running : JobState::Queued;
 }
 
+bool isUsable(const FleetState &fleet, const FleetHost &host)
+{
+    return host.listed && host.reported && host.reachable && !host.leaving
+        && !fleet.evacuated.contains(host.failureDomain);
+}
+
+FleetSummary summarize(const FleetState &fleet)
+{
+    FleetSummary sum;
+    for (const auto &[id, host] : fleet.hosts) {
+        ++sum.hosts;
+        if (!isUsable(fleet, host)) {
+            continue;
+        }
+        ++sum.usableHosts;
+        sum.capacity = sum.capacity + host.capacity;
+        sum.committed = sum.committed + host.committed;
+        sum.servingMilliCores += host.servingMilliCores;
+        sum.backfillMilliCores += host.backfillMilliCores;
+    }
+    for (const JobRuntime *const job : fleet.live) {
+        for (std::size_t n = 0; n < job->steps.size(); ++n) {
+            if (job->steps[n].open) {
+                sum.waitingTasks += job->steps[n].waiting;
+                sum.waitingBackfillTasks += job->spec.steps[n].backfill ? job->steps[n].waiting : 0;
+            }
+        }
+    }
+    return sum;
+}
+
 void occupy(FleetHost &host, const StepSpec &step, const TaskKey &task, std::uint64_t run)
 {
     const auto [it, added] = host.runs.insert_or_assign(task, run);
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -40,7 +40,7 @@
     /// Set unless the phase is Waiting or Done.
     HostId host;
     std::string checkpoint;
-    /// Start order sent; later, start confirmed.
+    /// Start order sent; later, start confirmed; while waiting, since when it waits.
     TimePoint since;
     /// Work share reported last, and when it last grew.
     int percent = 0;
@@ -135,6 +135,11 @@
     std::map<HostId, FleetHost> hosts;
     std::set<FailureDomainId> evacuated;
     InterferenceModel interference;
+    /// Processors that short committed tasks need, at their recent peak; see updateUrgentDemand().
+    double urgentMilliCores = 0;
+    TimePoint urgentDemandAt;
+    /// Work in core-seconds of jobs that were admitted and are being stored.
+    std::map<JobId, double> offered;
     /// Jobs that are not in a terminal state.
     std::vector<JobRuntime *> live;
     /// Jobs in a terminal state of which a run may still be present.
@@ -157,6 +162,27 @@
 /// Returns the state as callers see it.
 JobState stateOf(const JobRuntime &job);
 
+/// Sums over a fleet, for operators.
+struct FleetSummary
+{
+    int hosts = 0;
+    /// Listed, reachable, not leaving, not evacuated.
+    int usableHosts = 0;
+    /// Of the usable hosts.
+    Resources capacity;
+    Resources committed;
+    std::int64_t servingMilliCores = 0;
+    std::int64_t backfillMilliCores = 0;
+    /// Tasks that may start now, and those of them that are backfill tasks.
+    std::size_t waitingTasks = 0;
+    std::size_t waitingBackfillTasks = 0;
+};
+
+FleetSummary summarize(const FleetState &fleet);
+
+/// Returns whether the host may get new tasks, apart from its room and a probation.
+bool isUsable(const FleetState &fleet, const FleetHost &host);
+
 /// Records that @p run occupies @p host, or no longer does.
 void occupy(FleetHost &host, const StepSpec &step, const TaskKey &task, std::uint64_t run);
 void vacate(FleetHost &host, const StepSpec &step, const TaskKey &task);
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -3,21 +3,26 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <limits>
 
 namespace acaciadeal {
 namespace {
 
-/// Tail-to-target ratio above which backfill tasks are slowed: the figure is rough and half a
-/// second old.
-constexpr double slowDownRatio = 0.9;
-/// Ratio below which they may speed up again.
-constexpr double speedUpRatio = 0.65;
-constexpr int slowDownFactor = 2;
-constexpr int speedUpPercent = 20;
+/// Tail-to-target ratio to which backfill tasks are slowed. The figure is rough and half a second
+/// old, and the load of the serving task itself swings.
+constexpr double wantedRatio = 0.8;
+/// Largest step up, in percent; down goes at once.
+constexpr int speedUpPercent = 25;
+/// Contribution to a ratio below which slowing is pointless.
+constexpr double minContribution = 0.03;
 /// A change shows in the tail only after its averaging window of half a second.
 constexpr Duration settleTime = milliseconds(600);
 /// A pace below this percentage is not worth its processor time; the tasks pause instead.
 constexpr int minPace = 10;
+/// Smaller changes are not worth a call for each task.
+constexpr int minPaceStep = 8;
 
 /// Assumed slope of a pair that was never seen: a task on a tenth of a host adds a tenth.
 constexpr Estimate unknownSlope{.value = 1.0, .variance = 1.0};
@@ -31,18 +36,6 @@
 /// Smallest contribution to a ratio for which a backfill task is slowed.
 constexpr double disturbingSlope = 0.3;
 
-int nextPace(const FleetHost &host)
-{
-    if (host.tailRatio > slowDownRatio) {
-        const int slower = host.pace / slowDownFactor;
-        return slower < minPace ? 0 : slower;
-    }
-    if (host.tailRatio < speedUpRatio) {
-        return std::min(100, host.pace + speedUpPercent);
-    }
-    return host.pace;
-}
-
 double shareOf(const FleetHost &host, double milliCores)
 {
     return milliCores / static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
@@ -61,6 +54,18 @@
     }
 }
 
+/// Shares of the host that backfill images used over the last half second.
+std::map<std::string, double> backfillShares(const FleetState &fleet, const FleetHost &host)
+{
+    std::map<std::string, double> shares;
+    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
+        if (step.backfill) {
+            shares[step.image] += shareOf(host, task.load);
+        }
+    });
+    return shares;
+}
+
 } // namespace
 
 double slopeOf(const InterferenceModel &model, const std::string &serving,
@@ -97,12 +102,7 @@
 
 void learnFromHost(FleetState &fleet, FleetHost &host)
 {
-    std::map<std::string, double> shares;
-    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
-        if (step.backfill) {
-            shares[step.image] += shareOf(host, task.load);
-        }
-    });
+    const auto shares = backfillShares(fleet, host);
     double highest = 0;
     forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
         const auto target = static_cast<double>(step.tailTarget.count());
@@ -130,18 +130,39 @@
     return highest;
 }
 
-void adjustPace(FleetHost &host, TimePoint now)
+void adjustPace(const FleetState &fleet, FleetHost &host, TimePoint now)
 {
-    if (host.backfillMilliCores == 0 && host.tailRatio < speedUpRatio) {
+    if (host.backfillMilliCores == 0) {
         host.pace = 100;
         return;
     }
-    const int pace = nextPace(host);
-    if (pace == host.pace || now - host.paceChangedAt < settleTime) {
+    if (now - host.paceChangedAt < settleTime) {
         return;
     }
-    host.pace = pace;
-    host.paceChangedAt = now;
+    const auto shares = backfillShares(fleet, host);
+    double factor = std::numeric_limits<double>::infinity();
+    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
+        const auto target = static_cast<double>(step.tailTarget.count());
+        if (target <= 0) {
+            return;
+        }
+        double contribution = 0;
+        for (const auto &[image, share] : shares) {
+            contribution += slopeOf(fleet.interference, step.image, image) * share;
+        }
+        if (contribution >= minContribution) {
+            const double allowed = wantedRatio - (task.load / target - contribution);
+            factor = std::min(factor, std::max(allowed, 0.0) / contribution);
+        }
+    });
+    const double wanted = std::min(host.pace * factor, 1.0 * host.pace + speedUpPercent);
+    int pace = std::clamp(static_cast<int>(std::max(wanted, 0.0)), 0, 100);
+    pace = pace < minPace ? 0 : pace;
+    const bool worthIt = pace == 0 || pace == 100 || std::abs(pace - host.pace) >= minPaceStep;
+    if (pace != host.pace && worthIt) {
+        host.pace = pace;
+        host.paceChangedAt = now;
+    }
 }
 
 void orderPaces(FleetState &fleet, FleetHost &host, std::vector<PaceRun> &orders)
--- a/packages/dispatch/interference.h
+++ b/packages/dispatch/interference.h
@@ -52,10 +52,10 @@
 /// Adjusts the speed of the host's disturbing backfill tasks to the tails of its serving tasks.
 ///
 /// Load pattern: batch tasks beside a serving task push its tail over the target, by amounts that
-/// differ by image and change within seconds. The pace halves at once when a tail nears its target
-/// and comes back in small steps while there is headroom, so that a serving task is never over its
-/// target for long. Images that do not disturb what serves there keep their speed.
-void adjustPace(FleetHost &host, TimePoint now);
+/// differ by image and change within seconds. The model tells which part of a tail they cause, so
+/// one step brings the tail back below its target, and the speed returns as room does. Images that
+/// do not disturb what serves there keep their speed.
+void adjustPace(const FleetState &fleet, FleetHost &host, TimePoint now);
 
 /// Adds an order for each running backfill task whose speed differs from the one it should have.
 void orderPaces(FleetState &fleet, FleetHost &host, std::vector<PaceRun> &orders);
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -24,18 +24,39 @@
 bool isEligible(const FleetState &fleet, const FleetHost &host, const ServiceId &service,
                 const StepSpec &step, TimePoint now)
 {
-    return host.listed && host.reported && host.reachable && !host.leaving
-        && host.service == service && now >= host.avoidUntil
-        && !fleet.evacuated.contains(host.failureDomain)
+    return isUsable(fleet, host) && host.service == service && now >= host.avoidUntil
         && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
 }
 
-/// Packs serving tasks: fuller hosts first, and hosts with batch tasks last.
-double servingScore(const FleetHost &host, double capacity, double freeAfter)
+/// Returns the share of the host's serving processors that belong to @p image.
+double imageShare(const FleetState &fleet, const FleetHost &host, const std::string &image)
 {
-    return 3.0 - freeAfter / capacity
-        - static_cast<double>(host.backfillMilliCores) / capacity
-        + (host.servingMilliCores > 0 ? 1.0 : 0.0);
+    std::int64_t same = 0;
+    for (const auto &[key, run] : host.runs) {
+        const JobRuntime *const job = findJob(fleet, key.job);
+        if (job != nullptr && job->spec.steps[key.step].tailTarget.count() > 0
+            && job->spec.steps[key.step].image == image) {
+            same += job->spec.steps[key.step].taskSize.milliCores;
+        }
+    }
+    return host.servingMilliCores == 0
+        ? 0
+        : static_cast<double>(same) / static_cast<double>(host.servingMilliCores);
+}
+
+/// Weight of the image against a full host when serving tasks are packed.
+constexpr double sameImageBonus = 2.0;
+/// What an empty host counts, so that an image opens a host of its own before it joins others.
+constexpr double emptyHostBonus = 1.2;
+
+/// Packs serving tasks: hosts of the same image first, then fuller ones.
+double servingScore(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
+                    double capacity, double freeAfter)
+{
+    const double affinity = host.servingMilliCores == 0
+        ? emptyHostBonus
+        : sameImageBonus * imageShare(fleet, host, step.image);
+    return 3.0 + affinity - freeAfter / capacity;
 }
 
 /// Uses the gaps between packed serving tasks before the hosts that batch tasks live on.
@@ -48,8 +69,7 @@
 double backfillScore(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
                      double capacity)
 {
-    const double idle = static_cast<double>(host.capacity.milliCores - host.committed.milliCores
-                                            - host.backfillMilliCores);
+    const double idle = idleMilliCores(host);
     const auto need = static_cast<double>(step.taskSize.milliCores);
     if (idle < minBackfillShare * need) {
         return -1;
@@ -77,12 +97,20 @@
     }
     const auto freeAfter = static_cast<double>(host.capacity.milliCores - host.committed.milliCores
                                                - need.milliCores);
-    return step.tailTarget.count() > 0 ? servingScore(host, capacity, freeAfter)
+    return step.tailTarget.count() > 0 ? servingScore(fleet, host, step, capacity, freeAfter)
                                        : urgentScore(host, capacity, freeAfter);
 }
 
 } // namespace
 
+double idleMilliCores(const FleetHost &host)
+{
+    const double used = static_cast<double>(host.committed.milliCores)
+        - (1.0 - servingUse) * static_cast<double>(host.servingMilliCores);
+    return static_cast<double>(host.capacity.milliCores) - used
+        - static_cast<double>(host.backfillMilliCores);
+}
+
 bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step)
 {
     Resources need = step.taskSize;
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/waitorder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace acaciadeal {
@@ -8,6 +9,11 @@
 
 /// Multiple of the objective after which a job's completion is worth nothing to its caller.
 constexpr int worthlessAfter = 3;
+/// Time in which the remembered peak of the short tasks' demand halves; two of the usual waves of
+/// load.
+constexpr double demandHalfLifeSeconds = 20.0;
+/// Wait after which a long-running task takes room that is kept for short ones.
+constexpr Duration longWait = std::chrono::seconds(3);
 
 enum class Lateness : std::uint8_t { InTime, Late, Worthless };
 
@@ -23,15 +29,15 @@
 struct Ranked
 {
     ReadyStep ready;
-    bool batch = false;
+    bool longRunning = false;
     Lateness lateness = Lateness::InTime;
     int priority = 0;
     TimePoint objective;
 
     auto key() const
     {
-        return std::tuple(batch, lateness == Lateness::Worthless, priority, lateness, objective,
-                          ready.job->spec.id, ready.step);
+        return std::tuple(lateness == Lateness::Worthless, priority, longRunning, lateness,
+                          objective, ready.job->spec.id, ready.step);
     }
 };
 
@@ -51,7 +57,7 @@
             }
             const bool longRunning = job->spec.steps[n].longRunning;
             ranked.push_back({.ready = {job, n},
-                              .batch = !longRunning,
+                              .longRunning = longRunning,
                               .lateness = longRunning ? Lateness::InTime : latenessOf(*job, now),
                               .priority = job->spec.terms.priority,
                               .objective = job->objective});
@@ -67,4 +73,39 @@
     return result;
 }
 
+void updateUrgentDemand(FleetState &fleet, TimePoint now)
+{
+    std::int64_t demand = 0;
+    for (const auto &[id, host] : fleet.hosts) {
+        demand += host.committed.milliCores - host.servingMilliCores;
+    }
+    for (const JobRuntime *const job : fleet.live) {
+        for (std::size_t n = 0; n < job->steps.size(); ++n) {
+            const StepSpec &step = job->spec.steps[n];
+            if (job->steps[n].open && !step.backfill && !step.longRunning) {
+                demand += job->steps[n].waiting * step.taskSize.milliCores;
+            }
+        }
+    }
+    const double seconds = std::chrono::duration<double>(now - fleet.urgentDemandAt).count();
+    const double kept = fleet.urgentMilliCores * std::exp2(-seconds / demandHalfLifeSeconds);
+    fleet.urgentMilliCores = std::max(kept, static_cast<double>(demand));
+    fleet.urgentDemandAt = now;
+}
+
+bool mayTakeForLong(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
+                    Duration waited)
+{
+    double spare = -fleet.urgentMilliCores;
+    for (const auto &[id, other] : fleet.hosts) {
+        if (isUsable(fleet, other)) {
+            // The demand contains what short tasks hold already.
+            spare += static_cast<double>(other.capacity.milliCores - other.servingMilliCores);
+        }
+    }
+    const Resources free = host.capacity - host.committed;
+    return spare >= static_cast<double>(step.taskSize.milliCores)
+        || (waited >= longWait && fits(step.taskSize + step.taskSize, free));
+}
+
 } // namespace acaciadeal
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -17,11 +17,20 @@
 /// Returns the steps whose tasks may start, in the order in which they should.
 ///
 /// Load pattern: more work waits than there is room for, and some of it has already missed what
-/// its caller waits for. Long-running tasks first, since each second away counts; then by class
-/// priority; within a class, jobs that can still meet their objective by the end of the objective;
+/// its caller waits for. By class priority; within a class, short tasks before long-running ones,
+/// which would hold the room for minutes; then jobs that can still meet their objective by its end,
 /// then late ones; last those so late that nobody waits for them any more. Nothing is dropped.
 std::vector<ReadyStep> readySteps(FleetState &fleet, TimePoint now);
 
+/// Follows the processors that short committed tasks need, at their recent peak.
+void updateUrgentDemand(FleetState &fleet, TimePoint now);
+
+/// Returns whether a long-running task may take @p host now. The room that short tasks need from
+/// time to time is kept free, unless the task has waited for @p waited long and the host has room
+/// for it twice over.
+bool mayTakeForLong(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
+                    Duration waited);
+
 } // namespace acaciadeal
 
 #endif
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -78,6 +78,7 @@
     void afterEvent();
 
     void tick();
+    void logStatus();
     void readNewJobs();
     void onJobChanges(const Result<RowChanges> &changes);
     void takeJobRow(const std::string &key, const std::string &value);
@@ -94,6 +95,8 @@
     internal::Roster roster;
     std::map<HostId, HostLink> links;
     std::vector<JobSpec> early;
+    /// First arrival of jobs that were offered and are not stored.
+    std::map<JobId, TimePoint> askedAt;
     std::uint64_t jobsVersion = 0;
     bool loaded = false;
     bool accounted = false;
@@ -585,6 +588,26 @@
     env.loop.postAfter(options.tickEvery, guarded([this] { tick(); }));
 }
 
+void FleetHolder::Impl::logStatus()
+{
+    const FleetSummary sum = summarize(dispatcher.fleet);
+    const auto cores = [](std::int64_t milliCores) { return std::to_string(milliCores / 1000); };
+    logEvent(EventId::FleetStatus, {{"hosts", std::to_string(sum.hosts)},
+                                    {"usable", std::to_string(sum.usableHosts)},
+                                    {"cores", cores(sum.capacity.milliCores)},
+                                    {"committed", cores(sum.committed.milliCores)},
+                                    {"serving", cores(sum.servingMilliCores)},
+                                    {"backfill", cores(sum.backfillMilliCores)},
+                                    {"memory_gib", std::to_string(sum.capacity.memoryMiB / 1024)},
+                                    {"memory_used_gib",
+                                     std::to_string(sum.committed.memoryMiB / 1024)},
+                                    {"live_jobs", std::to_string(dispatcher.fleet.live.size())},
+                                    {"waiting_tasks", std::to_string(sum.waitingTasks)},
+                                    {"waiting_backfill_tasks",
+                                     std::to_string(sum.waitingBackfillTasks)}});
+    env.loop.postAfter(options.statusEvery, guarded([this] { logStatus(); }));
+}
+
 void FleetHolder::Impl::readNewJobs()
 {
     env.platform.changes(jobTable, jobsVersion, Duration(0),
@@ -641,6 +664,9 @@
 
 void FleetHolder::Impl::cleanUp(TimePoint now)
 {
+    std::erase_if(askedAt, [&](const auto &entry) {
+        return now - entry.second >= options.rememberRejected;
+    });
     std::vector<JobId> &ended = dispatcher.fleet.ended;
     std::vector<JobId> old;
     for (const JobId &id : ended) {
@@ -684,6 +710,7 @@
     m_impl->readState();
     m_impl->listHosts();
     m_impl->tick();
+    m_impl->logStatus();
 }
 
 void FleetHolder::stop()
@@ -700,6 +727,34 @@
     m_impl->writer.finish(std::move(done));
 }
 
+AdmissionDecision FleetHolder::offer(const JobSpec &job)
+{
+    Impl &impl = *m_impl;
+    if (!impl.loaded || impl.finishing) {
+        return {};
+    }
+    const TimePoint now = bootNow();
+    const TimePoint asked = impl.askedAt.try_emplace(job.id, now).first->second;
+    const AdmissionDecision decision = judgeAdmission(impl.dispatcher.fleet, job, asked, now);
+    if (decision.cores > 0) {
+        logEvent(EventId::JobOffered,
+                 {{"job", job.id.value},
+                  {"admitted", decision.admitted ? "yes" : "no"},
+                  {"backlog_core_seconds",
+                   std::to_string(static_cast<int>(decision.backlogCoreSeconds))},
+                  {"cores", std::to_string(static_cast<int>(decision.cores))},
+                  {"retry_after_ms", std::to_string(decision.retryAfter.count())}});
+    }
+    if (decision.admitted) {
+        impl.dispatcher.fleet.offered[job.id] = backfillWork(job);
+        impl.env.loop.postAfter(impl.options.offerValidity,
+                                impl.guarded([&impl, id = job.id] {
+                                    impl.dispatcher.fleet.offered.erase(id);
+                                }));
+    }
+    return decision;
+}
+
 void FleetHolder::addStored(JobSpec job)
 {
     if (!m_impl->loaded) {
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -1,6 +1,7 @@
 #ifndef ACACIADEAL_FLEET_HOLDER_H
 #define ACACIADEAL_FLEET_HOLDER_H
 
+#include "dispatch/admission.h"
 #include "dispatch/dispatcher.h"
 #include "fleet/hostport.h"
 #include "metrics/metrics.h"
@@ -39,6 +40,11 @@
     Duration readJobsEvery = milliseconds(1000);
     /// Housekeeping of leases, delays and repeated orders.
     Duration tickEvery = milliseconds(100);
+    Duration statusEvery = std::chrono::seconds(2);
+    /// Time for which the first arrival of a rejected job is remembered.
+    Duration rememberRejected = std::chrono::seconds(60);
+    /// Time for which an admitted job may be on its way to the store.
+    Duration offerValidity = milliseconds(1500);
     /// Time for which ended jobs are remembered; callers may ask for 120 s.
     Duration keepEnded = std::chrono::seconds(150);
 };
@@ -73,6 +79,8 @@
     /// Stops sending orders, writes what is not durable yet, then calls @p done once.
     void finish(std::function<void()> done);
 
+    /// Decides whether a job may be stored; admits everything during recovery.
+    AdmissionDecision offer(const JobSpec &job);
     /// Takes in a job that was just stored.
     void addStored(JobSpec job);
     void setEvacuated(std::set<FailureDomainId> domains);
--- a/packages/fleet/jobfront.cpp
+++ b/packages/fleet/jobfront.cpp
@@ -12,12 +12,15 @@
 namespace {
 
 /// Questions between daemons, as the class of a forwarded request.
+constexpr const char *jobOffered = "job-offered";
 constexpr const char *jobStored = "job-stored";
 constexpr const char *jobState = "job-state";
 constexpr const char *jobCancel = "job-cancel";
 constexpr const char *queuePending = "queue-pending";
 
 constexpr unsigned statusOk = 200;
+/// For a rejection whose time cannot be read.
+constexpr unsigned long defaultRetryAfterMs = 2000;
 
 ForwardedAnswer answerOf(const Result<JobState> &state)
 {
@@ -59,6 +62,7 @@
     TimePoint deadline;
     SubmitCallback callback;
     int attempts = 0;
+    milliseconds retryAfter{0};
     /// Whether an earlier attempt may still take effect.
     bool uncertain = false;
 };
@@ -75,7 +79,38 @@
     submission->job = std::move(job);
     submission->deadline = bootNow() + timeout - m_options.answerReserve;
     submission->callback = std::move(callback);
-    store(submission);
+    offer(submission);
+}
+
+/// Asks the holder whether the job can still be served. Without an answer the job is taken: it is
+/// safe in the store, and the next holder serves it.
+void JobFront::offer(const std::shared_ptr<Submission> &submission)
+{
+    if (FleetHolder *const holder = m_env.localHolder()) {
+        onOffered(submission, holder->offer(submission->job));
+        return;
+    }
+    askHolder(jobOffered, submission->job.id, encodeJob(submission->job),
+              [this, submission](const Result<ForwardedAnswer> &answer) {
+                  AdmissionDecision decision;
+                  if (answer && answer->status == static_cast<unsigned>(ResultCode::Overloaded)) {
+                      decision.admitted = false;
+                      decision.retryAfter =
+                          milliseconds(numberOf(answer->body).value_or(defaultRetryAfterMs));
+                  }
+                  onOffered(submission, decision);
+              });
+}
+
+void JobFront::onOffered(const std::shared_ptr<Submission> &submission,
+                         const AdmissionDecision &decision)
+{
+    if (decision.admitted) {
+        store(submission);
+        return;
+    }
+    submission->retryAfter = decision.retryAfter;
+    settle(submission, failure(ResultCode::Overloaded, "the job would end after its objective"));
 }
 
 void JobFront::store(const std::shared_ptr<Submission> &submission)
@@ -127,10 +162,11 @@
                  {{"job", job.id.value},
                   {"queue", job.terms.queue},
                   {"attempts", attempts},
+                  {"retry_after_ms", std::to_string(submission->retryAfter.count())},
                   {"reason", result.error().message}});
         m_env.metrics.count("fleet_jobs_rejected_total", {{"queue", job.terms.queue}});
     }
-    submission->callback(result);
+    submission->callback({result, submission->retryAfter});
 }
 
 /// Tells the holder at once; it would find the row by itself within a second.
@@ -316,6 +352,14 @@
         respond(ForwardedAnswer{.status = statusOk});
         return;
     }
+    if (request.requestClass == jobOffered) {
+        const auto spec = decodeJob(request.body);
+        const AdmissionDecision decision = spec ? holder->offer(*spec) : AdmissionDecision{};
+        respond(ForwardedAnswer{
+            .status = decision.admitted ? statusOk : static_cast<unsigned>(ResultCode::Overloaded),
+            .body = std::to_string(decision.retryAfter.count())});
+        return;
+    }
     if (request.requestClass == queuePending) {
         const auto n = holder->pending(request.body);
         respond(ForwardedAnswer{
--- a/packages/fleet/jobfront.h
+++ b/packages/fleet/jobfront.h
@@ -40,7 +40,14 @@
     std::function<const OwnerRecord &()> owner;
 };
 
-using SubmitCallback = std::function<void(Result<void>)>;
+/// Outcome of a submission: stored, or why not, and then when the caller should come back.
+struct SubmitOutcome
+{
+    Result<void> result;
+    milliseconds retryAfter{0};
+};
+
+using SubmitCallback = std::function<void(const SubmitOutcome &)>;
 using PendingCallback = std::function<void(Result<std::size_t>)>;
 
 /// What every daemon does for callers: it stores jobs, and asks the shard's holder or else the
@@ -50,7 +57,8 @@
 public:
     JobFront(JobFrontEnvironment environment, const JobFrontOptions &options);
 
-    /// Stores @p job once, however often its id arrives. Errors: PlatformUnavailable if it was
+    /// Stores @p job once, however often its id arrives. Errors: Overloaded if the holder rejects
+    /// it; PlatformUnavailable if it was
     /// provably not stored; WriteOutcomeUnknown if that is not known by the end of @p timeout.
     void submit(JobSpec job, Duration timeout, SubmitCallback callback);
     /// Errors: JobNotFound, PlatformUnavailable.
@@ -66,6 +74,8 @@
 private:
     struct Submission;
 
+    void offer(const std::shared_ptr<Submission> &submission);
+    void onOffered(const std::shared_ptr<Submission> &submission, const AdmissionDecision &decision);
     void store(const std::shared_ptr<Submission> &submission);
     void onStored(const std::shared_ptr<Submission> &submission,
                   const Result<CommitVersions> &result);
