Keep batch tasks away from serving tasks that they disturb

Cause: batch tasks of the four images that disturb most serving images were placed beside them and then stood still at pace 0; a pace of 0 never rose again (0 times infinity).

Change: a batch task may cause at most 0.15 of a tail's target by the learned slopes; sums by image are kept per host; a round remembers which needs found no room; events are gathered for 5 ms. Only jobs that would end far beyond their objective are rejected.

--- a/packages/dispatch/admission.cpp
+++ b/packages/dispatch/admission.cpp
@@ -3,14 +3,19 @@
 #include "dispatch/placement.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace acaciadeal {
 namespace {
 
 /// Part of the idle processors that batch tasks can use: tasks do not fill the gaps exactly.
 constexpr double usableShare = 0.8;
-/// Part of its objective within which a job has to fit by the declared figures, which are rough.
-constexpr double objectiveShare = 0.9;
+/// Multiple of its objective up to which a late end still serves a caller. Work that is late is
+/// flagged and finished; only what would be this late is not taken.
+constexpr int worthlessAfter = 8;
+/// A job competes with others that can use at most this multiple of the processors that it can use;
+/// the rest finds room elsewhere.
+constexpr double competesUpTo = 1.3;
 /// Wait up to which a job that is late already is taken: the processors would stay idle otherwise.
 constexpr milliseconds idleWait{300};
 /// Shortest and longest time after which a caller is asked to come back.
@@ -23,16 +28,25 @@
         * static_cast<double>(step.estimatedRunTime.count()) / 1000.0;
 }
 
-double idleCores(const FleetState &fleet)
+/// Processors that the narrowest backfill step of @p job can use.
+double usableCores(FleetState &fleet, const JobSpec &job,
+                   std::map<ImageId, double> &byImage)
 {
-    double milliCores = 0;
-    for (const auto &[id, host] : fleet.hosts) {
-        if (isUsable(fleet, host)) {
-            milliCores += std::max(
-                idleMilliCores(host) + static_cast<double>(host.backfillMilliCores), 0.0);
+    double narrowest = std::numeric_limits<double>::infinity();
+    for (const StepSpec &step : job.steps) {
+        if (!step.backfill) {
+            continue;
         }
+        const ImageId image = imageId(fleet.interference, step.image);
+        const auto [it, missing] = byImage.try_emplace(image, 0.0);
+        if (missing) {
+            for (const auto &[id, host] : fleet.hosts) {
+                it->second += isUsable(fleet, host) ? usableMilliCores(fleet, host, step, image) : 0.0;
+            }
+        }
+        narrowest = std::min(narrowest, it->second);
     }
-    return usableShare * milliCores / 1000.0;
+    return usableShare * narrowest / 1000.0;
 }
 
 double remainingWork(const JobRuntime &job)
@@ -72,7 +86,7 @@
     return work;
 }
 
-AdmissionDecision judgeAdmission(const FleetState &fleet, const JobSpec &job, TimePoint asked,
+AdmissionDecision judgeAdmission(FleetState &fleet, const JobSpec &job, TimePoint asked,
                                  TimePoint now)
 {
     AdmissionDecision decision;
@@ -80,20 +94,23 @@
     if (own <= 0 || fleet.jobs.contains(job.id)) {
         return decision;
     }
+    std::map<ImageId, double> byImage;
+    decision.cores = std::max(usableCores(fleet, job, byImage), 1.0);
     for (const JobRuntime *const other : fleet.live) {
-        decision.backlogCoreSeconds += remainingWork(*other);
+        const double work = remainingWork(*other);
+        if (work > 0 && usableCores(fleet, other->spec, byImage) <= competesUpTo * decision.cores) {
+            decision.backlogCoreSeconds += work;
+        }
     }
     for (const auto &[id, work] : fleet.offered) {
         decision.backlogCoreSeconds += work;
     }
-    decision.cores = std::max(idleCores(fleet), 1.0);
     const milliseconds wait = toMilliseconds(decision.backlogCoreSeconds / decision.cores);
     const milliseconds chain = declaredChain(job);
     const auto objective = std::chrono::duration_cast<milliseconds>(chain * job.terms.slowdownFactor)
         + job.terms.targetLatency;
     const auto waited = std::chrono::duration_cast<milliseconds>(now - asked);
-    const auto usable = std::chrono::duration_cast<milliseconds>(objective * objectiveShare);
-    const milliseconds slack = usable - chain - waited;
+    const milliseconds slack = worthlessAfter * objective - chain - waited;
     if (wait <= std::max(slack, idleWait)) {
         return decision;
     }
--- a/packages/dispatch/admission.h
+++ b/packages/dispatch/admission.h
@@ -15,13 +15,13 @@
     double cores = 0;
 };
 
-/// Decides whether a job can still meet its objective behind the work that was accepted before it.
+/// Decides whether a job can be served before its caller stops waiting for it.
 ///
-/// Load pattern: batch jobs arrive at twice the rate that idle processors can carry, for a burst or
-/// for the whole day. Accepted in full, every one of them would be late. A job that could not
-/// finish in time is rejected before it is stored, so the others are served in time, and its
-/// caller learns at once when to come back. @p asked is when the caller first handed the job in.
-AdmissionDecision judgeAdmission(const FleetState &fleet, const JobSpec &job, TimePoint asked,
+/// Load pattern: batch jobs arrive faster than idle processors can carry, in a burst or for the
+/// whole day, and images that disturb serving tasks have few hosts to run on. A job that would end
+/// after many times its objective is rejected before it is stored, and its caller learns when to
+/// come back. @p asked is when the caller first handed the job in.
+AdmissionDecision judgeAdmission(FleetState &fleet, const JobSpec &job, TimePoint asked,
                                  TimePoint now);
 
 /// Returns the declared work of a job's backfill steps in core-seconds. Thread-safe.
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -41,7 +41,7 @@
     if (FleetHost *const host = findHost(dispatcher.fleet, task.host)) {
         const auto it = host->runs.find(key);
         if (it != host->runs.end() && it->second == task.run) {
-            vacate(*host, stepOf(job, key), key);
+            vacate(*host, job, key);
         }
     }
     task.host = {};
@@ -194,7 +194,7 @@
         task->since = now;
         task->progressedAt = now;
         job->begun = true;
-        occupy(host, stepOf(*job, active.task), active.task, active.run);
+        occupy(host, *job, active.task, active.run);
         note(dispatcher, {.kind = Finding::Kind::RunAdopted,
                           .job = active.task.job,
                           .subject = toString(active.task),
@@ -297,24 +297,61 @@
     task.progressedAt = now;
     --job.steps[key.step].waiting;
     job.begun = true;
-    occupy(host, stepOf(job, key), key, task.run);
+    occupy(host, job, key, task.run);
     orders.starts.push_back({host.id, key, task.run, job.spec.payload, task.checkpoint});
 }
 
-void startStep(Dispatcher &dispatcher, const ReadyStep &ready, Orders &orders, TimePoint now)
+/// Smallest processor need for which no host was found in this round, by kind of step. Spares the
+/// search for the many steps that wait for the same kind of room.
+using NoRoomMemo = std::map<std::pair<bool, ImageId>, std::int64_t>;
+
+bool isPlain(const StepSpec &step)
+{
+    return step.requiredLabel.empty() && step.maxTasksPerHost == 0;
+}
+
+std::pair<bool, ImageId> kindOf(const JobRuntime &job, std::uint32_t step)
+{
+    return {job.spec.steps[step].backfill, job.steps[step].image};
+}
+
+bool isHopeless(const NoRoomMemo &noRoom, const JobRuntime &job, std::uint32_t step)
+{
+    const auto it = noRoom.find(kindOf(job, step));
+    return it != noRoom.end() && job.spec.steps[step].taskSize.milliCores >= it->second;
+}
+
+void remember(NoRoomMemo &noRoom, const JobRuntime &job, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    if (isPlain(spec)) {
+        const auto [it, added] =
+            noRoom.try_emplace(kindOf(job, step), spec.taskSize.milliCores);
+        it->second = std::min(it->second, spec.taskSize.milliCores);
+    }
+}
+
+void startStep(Dispatcher &dispatcher, const ReadyStep &ready, NoRoomMemo &noRoom, Orders &orders,
+               TimePoint now)
 {
     JobRuntime &job = *ready.job;
     StepRuntime &step = job.steps[ready.step];
+    if (isHopeless(noRoom, job, ready.step)) {
+        return;
+    }
     for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
         TaskRuntime &task = step.tasks[n];
         if (task.phase != TaskPhase::Waiting || now < task.notBefore) {
             continue;
         }
         FleetHost *const host = chooseHost(dispatcher.fleet, job, ready.step, task, now);
-        if (host == nullptr
-            || (job.spec.steps[ready.step].longRunning
-                && !mayTakeForLong(dispatcher.fleet, *host, job.spec.steps[ready.step],
-                                   now - task.since))) {
+        if (host == nullptr) {
+            remember(noRoom, job, ready.step);
+            return;
+        }
+        if (job.spec.steps[ready.step].longRunning
+            && !mayTakeForLong(dispatcher.fleet, *host, job.spec.steps[ready.step],
+                               now - task.since)) {
             return;
         }
         startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
@@ -342,6 +379,7 @@
     job->objective = now + allowed + job->spec.terms.targetLatency;
     for (std::size_t n = 0; n < job->spec.steps.size(); ++n) {
         StepRuntime step;
+        step.image = imageId(dispatcher.fleet.interference, job->spec.steps[n].image);
         step.tasks.resize(job->spec.steps[n].tasks, TaskRuntime{.since = now});
         for (std::size_t task = 0; task < step.tasks.size(); ++task) {
             if (job->progress.steps[n].done[task]) {
@@ -457,10 +495,7 @@
                           .reason = reason});
         returnToWaiting(dispatcher, *job, key, *task, now);
     }
-    state->runs.clear();
-    state->committed = {};
-    state->backfillMilliCores = 0;
-    state->servingMilliCores = 0;
+    vacateAll(*state);
 }
 
 void accountForAll(Dispatcher &dispatcher)
@@ -477,8 +512,9 @@
     dispatcher.strayStops.clear();
     stopEndedJobs(dispatcher, orders, now);
     updateUrgentDemand(dispatcher.fleet, now);
+    NoRoomMemo noRoom;
     for (const ReadyStep &ready : readySteps(dispatcher.fleet, now)) {
-        startStep(dispatcher, ready, orders, now);
+        startStep(dispatcher, ready, noRoom, orders, now);
     }
     orders.paces = std::move(dispatcher.paces);
     dispatcher.paces.clear();
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -5,15 +5,20 @@
 namespace acaciadeal {
 namespace {
 
-void account(FleetHost &host, const StepSpec &step, int sign)
+void account(FleetHost &host, const JobRuntime &job, std::uint32_t index, int sign)
 {
+    const StepSpec &step = job.spec.steps[index];
+    const ImageId image = job.steps[index].image;
     Resources size = step.taskSize;
+    const auto milliCores = static_cast<double>(sign * size.milliCores);
     if (step.backfill) {
         host.backfillMilliCores += sign * size.milliCores;
+        addUse(host.backfillUse, image, milliCores);
         size.milliCores = 0;
     }
     if (step.tailTarget.count() > 0) {
         host.servingMilliCores += sign * size.milliCores;
+        addUse(host.servingUse, image, milliCores);
     }
     host.committed = sign > 0 ? host.committed + size : host.committed - size;
 }
@@ -91,19 +96,29 @@
     return sum;
 }
 
-void occupy(FleetHost &host, const StepSpec &step, const TaskKey &task, std::uint64_t run)
+void occupy(FleetHost &host, const JobRuntime &job, const TaskKey &task, std::uint64_t run)
 {
     const auto [it, added] = host.runs.insert_or_assign(task, run);
     if (added) {
-        account(host, step, 1);
+        account(host, job, task.step, 1);
     }
 }
 
-void vacate(FleetHost &host, const StepSpec &step, const TaskKey &task)
+void vacate(FleetHost &host, const JobRuntime &job, const TaskKey &task)
 {
     if (host.runs.erase(task) > 0) {
-        account(host, step, -1);
+        account(host, job, task.step, -1);
     }
 }
 
+void vacateAll(FleetHost &host)
+{
+    host.runs.clear();
+    host.committed = {};
+    host.backfillMilliCores = 0;
+    host.servingMilliCores = 0;
+    host.servingUse.clear();
+    host.backfillUse.clear();
+}
+
 } // namespace acaciadeal
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -58,6 +58,7 @@
 struct StepRuntime
 {
     std::vector<TaskRuntime> tasks;
+    ImageId image = 0;
     /// Number of tasks in phase Waiting.
     std::uint32_t waiting = 0;
     /// Whether all steps that it depends on are done.
@@ -115,6 +116,9 @@
     std::int64_t backfillMilliCores = 0;
     /// Part of the committed processors that belongs to tasks with a tail target.
     std::int64_t servingMilliCores = 0;
+    /// Committed processors of serving tasks, and processors of backfill tasks, by image.
+    ImageUse servingUse;
+    ImageUse backfillUse;
     /// Highest end number that was taken in, and the highest whose effect is durable.
     std::uint64_t seenEnd = 0;
     std::uint64_t durableEnd = 0;
@@ -184,8 +188,10 @@
 bool isUsable(const FleetState &fleet, const FleetHost &host);
 
 /// Records that @p run occupies @p host, or no longer does.
-void occupy(FleetHost &host, const StepSpec &step, const TaskKey &task, std::uint64_t run);
-void vacate(FleetHost &host, const StepSpec &step, const TaskKey &task);
+void occupy(FleetHost &host, const JobRuntime &job, const TaskKey &task, std::uint64_t run);
+void vacate(FleetHost &host, const JobRuntime &job, const TaskKey &task);
+/// Records that nothing occupies @p host.
+void vacateAll(FleetHost &host);
 
 } // namespace acaciadeal
 
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -5,14 +5,13 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
-#include <limits>
 
 namespace acaciadeal {
 namespace {
 
 /// Tail-to-target ratio to which backfill tasks are slowed. The figure is rough and half a second
 /// old, and the load of the serving task itself swings.
-constexpr double wantedRatio = 0.8;
+constexpr double wantedRatio = 0.9;
 /// Largest step up, in percent; down goes at once.
 constexpr int speedUpPercent = 25;
 /// Contribution to a ratio below which slowing is pointless.
@@ -31,17 +30,19 @@
 constexpr double observationVariance = 0.09;
 /// Growth of a parameter's variance by observation, so that the model follows changes.
 constexpr double drift = 1e-5;
+/// Standard deviations below the estimate that are assumed.
+constexpr double caution = 0.5;
 /// Higher ratios say no more than that the host is far beyond its knee.
 constexpr double maxObservedRatio = 3.0;
 /// Smallest contribution to a ratio for which a backfill task is slowed.
 constexpr double disturbingSlope = 0.3;
 
-double shareOf(const FleetHost &host, double milliCores)
+double capacityOf(const FleetHost &host)
 {
-    return milliCores / static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
+    return static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
 }
 
-/// Calls @p visit with the job, step and runtime of each running task on the host.
+/// Calls @p visit with the job's runtime step, its spec and the runtime of each running task.
 template<typename Visit>
 void forEachRunning(const FleetState &fleet, const FleetHost &host, Visit visit)
 {
@@ -49,44 +50,77 @@
         const JobRuntime *const job = findJob(fleet, key.job);
         const TaskRuntime *const task = findTask(fleet, key);
         if (job != nullptr && task != nullptr && task->phase == TaskPhase::Running) {
-            visit(job->spec.steps[key.step], *task);
+            visit(job->steps[key.step].image, job->spec.steps[key.step], *task);
         }
     }
 }
 
-/// Shares of the host that backfill images used over the last half second.
-std::map<std::string, double> backfillShares(const FleetState &fleet, const FleetHost &host)
+/// Use of the host by backfill images as reported for the last half second.
+ImageUse reportedUse(const FleetState &fleet, const FleetHost &host)
 {
-    std::map<std::string, double> shares;
-    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
+    ImageUse use;
+    forEachRunning(fleet, host, [&](ImageId image, const StepSpec &step, const TaskRuntime &task) {
         if (step.backfill) {
-            shares[step.image] += shareOf(host, task.load);
+            addUse(use, image, task.load);
         }
     });
-    return shares;
+    return use;
+}
+
+/// Part of a serving image's tail ratio that backfill tasks with this use cause.
+double contributionOf(const InterferenceModel &model, ImageId serving, const ImageUse &use,
+                      double capacity)
+{
+    double contribution = 0;
+    for (const auto &[image, milliCores] : use) {
+        contribution += slopeOf(model, serving, image) * milliCores / capacity;
+    }
+    return contribution;
 }
 
 } // namespace
 
-double slopeOf(const InterferenceModel &model, const std::string &serving,
-               const std::string &backfill)
+void addUse(ImageUse &use, ImageId image, double milliCores)
+{
+    const auto it = std::find_if(use.begin(), use.end(),
+                                 [image](const auto &entry) { return entry.first == image; });
+    if (it == use.end()) {
+        use.emplace_back(image, milliCores);
+        return;
+    }
+    it->second += milliCores;
+    if (it->second <= 0) {
+        use.erase(it);
+    }
+}
+
+ImageId imageId(InterferenceModel &model, const std::string &image)
+{
+    if (model.base.empty()) {
+        model.base.assign(maxImages, unknownBase);
+        model.slope.assign(maxImages * maxImages, unknownSlope);
+    }
+    const std::size_t next = std::min(model.names.size(), maxImages - 1);
+    return model.names.try_emplace(image, static_cast<ImageId>(next)).first->second;
+}
+
+double slopeOf(const InterferenceModel &model, ImageId serving, ImageId backfill)
 {
-    const auto it = model.slope.find({serving, backfill});
-    return std::max(0.0, it == model.slope.end() ? unknownSlope.value : it->second.value);
+    const Estimate &slope = model.slope[serving * maxImages + backfill];
+    return std::max(0.0, slope.value - caution * std::sqrt(slope.variance));
 }
 
-void observeTail(InterferenceModel &model, const std::string &serving, double tailRatio,
-                 const std::map<std::string, double> &shares)
+void observeTail(InterferenceModel &model, ImageId serving, double tailRatio, const ImageUse &use,
+                 double capacity)
 {
-    Estimate &base = model.base.try_emplace(serving, unknownBase).first->second;
+    Estimate &base = model.base[serving];
     double expected = base.value;
     double variance = base.variance + observationVariance;
-    std::vector<std::pair<Estimate *, double>> slopes;
-    for (const auto &[image, share] : shares) {
-        Estimate &slope = model.slope.try_emplace({serving, image}, unknownSlope).first->second;
+    for (const auto &[image, milliCores] : use) {
+        const Estimate &slope = model.slope[serving * maxImages + image];
+        const double share = milliCores / capacity;
         expected += slope.value * share;
         variance += slope.variance * share * share;
-        slopes.emplace_back(&slope, share);
     }
     const double error = std::min(tailRatio, maxObservedRatio) - expected;
     const auto update = [error, variance](Estimate &estimate, double input) {
@@ -95,38 +129,51 @@
         estimate.variance += drift - gain * input * estimate.variance;
     };
     update(base, 1.0);
-    for (const auto &[slope, share] : slopes) {
-        update(*slope, share);
+    for (const auto &[image, milliCores] : use) {
+        update(model.slope[serving * maxImages + image], milliCores / capacity);
     }
 }
 
 void learnFromHost(FleetState &fleet, FleetHost &host)
 {
-    const auto shares = backfillShares(fleet, host);
+    const ImageUse use = reportedUse(fleet, host);
+    const double capacity = capacityOf(host);
     double highest = 0;
-    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
+    forEachRunning(fleet, host, [&](ImageId image, const StepSpec &step, const TaskRuntime &task) {
         const auto target = static_cast<double>(step.tailTarget.count());
         if (target <= 0 || task.percent < 100 || task.load <= 0) {
             return;
         }
         const double ratio = task.load / target;
-        observeTail(fleet.interference, step.image, ratio, shares);
+        observeTail(fleet.interference, image, ratio, use, capacity);
         highest = std::max(highest, ratio);
     });
     host.tailRatio = highest;
 }
 
-double expectedTailRatio(const FleetState &fleet, const FleetHost &host, const std::string &image,
-                         double share)
+double disturbanceWith(const FleetState &fleet, const FleetHost &host, ImageId image,
+                       double milliCores)
 {
+    const double capacity = capacityOf(host);
     double highest = 0;
-    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
-        const auto target = static_cast<double>(step.tailTarget.count());
-        if (target > 0) {
-            const double slope = slopeOf(fleet.interference, step.image, image);
-            highest = std::max(highest, task.load / target + slope * share);
-        }
-    });
+    for (const auto &[serving, cores] : host.servingUse) {
+        const double present =
+            contributionOf(fleet.interference, serving, host.backfillUse, capacity);
+        highest = std::max(highest, present
+                               + slopeOf(fleet.interference, serving, image) * milliCores
+                                   / capacity);
+    }
+    return highest;
+}
+
+double disturbanceOf(const FleetState &fleet, const FleetHost &host, ImageId image,
+                     double milliCores)
+{
+    double highest = 0;
+    for (const auto &[serving, cores] : host.servingUse) {
+        highest = std::max(highest, slopeOf(fleet.interference, serving, image) * milliCores
+                               / capacityOf(host));
+    }
     return highest;
 }
 
@@ -139,24 +186,23 @@
     if (now - host.paceChangedAt < settleTime) {
         return;
     }
-    const auto shares = backfillShares(fleet, host);
-    double factor = std::numeric_limits<double>::infinity();
-    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &task) {
+    const ImageUse used = reportedUse(fleet, host);
+    const double capacity = capacityOf(host);
+    double wanted = 100;
+    forEachRunning(fleet, host, [&](ImageId image, const StepSpec &step, const TaskRuntime &task) {
         const auto target = static_cast<double>(step.tailTarget.count());
         if (target <= 0) {
             return;
         }
-        double contribution = 0;
-        for (const auto &[image, share] : shares) {
-            contribution += slopeOf(fleet.interference, step.image, image) * share;
-        }
-        if (contribution >= minContribution) {
-            const double allowed = wantedRatio - (task.load / target - contribution);
-            factor = std::min(factor, std::max(allowed, 0.0) / contribution);
+        const double own =
+            task.load / target - contributionOf(fleet.interference, image, used, capacity);
+        const double full =
+            contributionOf(fleet.interference, image, host.backfillUse, capacity);
+        if (full >= minContribution) {
+            wanted = std::min(wanted, 100.0 * std::max(wantedRatio - own, 0.0) / full);
         }
     });
-    const double wanted = std::min(host.pace * factor, 1.0 * host.pace + speedUpPercent);
-    int pace = std::clamp(static_cast<int>(std::max(wanted, 0.0)), 0, 100);
+    int pace = std::min(static_cast<int>(wanted), host.pace + speedUpPercent);
     pace = pace < minPace ? 0 : pace;
     const bool worthIt = pace == 0 || pace == 100 || std::abs(pace - host.pace) >= minPaceStep;
     if (pace != host.pace && worthIt) {
@@ -170,12 +216,6 @@
     if (host.backfillMilliCores == 0) {
         return;
     }
-    std::set<std::string> servingImages;
-    forEachRunning(fleet, host, [&](const StepSpec &step, const TaskRuntime &) {
-        if (step.tailTarget.count() > 0) {
-            servingImages.insert(step.image);
-        }
-    });
     for (const auto &[key, run] : host.runs) {
         const JobRuntime *const job = findJob(fleet, key.job);
         TaskRuntime *const task = findTask(fleet, key);
@@ -183,10 +223,10 @@
             || !job->spec.steps[key.step].backfill) {
             continue;
         }
-        const std::string &image = job->spec.steps[key.step].image;
+        const ImageId image = job->steps[key.step].image;
         const bool disturbs =
-            std::any_of(servingImages.begin(), servingImages.end(), [&](const std::string &other) {
-                return slopeOf(fleet.interference, other, image) >= disturbingSlope;
+            std::any_of(host.servingUse.begin(), host.servingUse.end(), [&](const auto &entry) {
+                return slopeOf(fleet.interference, entry.first, image) >= disturbingSlope;
             });
         const int pace = disturbs ? host.pace : 100;
         if (task->pace != pace) {
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -29,33 +29,28 @@
 }
 
 /// Returns the share of the host's serving processors that belong to @p image.
-double imageShare(const FleetState &fleet, const FleetHost &host, const std::string &image)
+double imageShare(const FleetHost &host, ImageId image)
 {
-    std::int64_t same = 0;
-    for (const auto &[key, run] : host.runs) {
-        const JobRuntime *const job = findJob(fleet, key.job);
-        if (job != nullptr && job->spec.steps[key.step].tailTarget.count() > 0
-            && job->spec.steps[key.step].image == image) {
-            same += job->spec.steps[key.step].taskSize.milliCores;
+    for (const auto &[other, milliCores] : host.servingUse) {
+        if (other == image) {
+            return milliCores / static_cast<double>(host.servingMilliCores);
         }
     }
-    return host.servingMilliCores == 0
-        ? 0
-        : static_cast<double>(same) / static_cast<double>(host.servingMilliCores);
+    return 0;
 }
 
 /// Weight of the image against a full host when serving tasks are packed.
 constexpr double sameImageBonus = 2.0;
-/// What an empty host counts, so that an image opens a host of its own before it joins others.
-constexpr double emptyHostBonus = 1.2;
+/// What an empty host counts: an image opens a host of its own before it joins others, but not
+/// before its own hosts are full.
+constexpr double emptyHostBonus = 1.0;
 
 /// Packs serving tasks: hosts of the same image first, then fuller ones.
-double servingScore(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
-                    double capacity, double freeAfter)
+double servingScore(const FleetHost &host, ImageId image, double capacity, double freeAfter)
 {
     const double affinity = host.servingMilliCores == 0
         ? emptyHostBonus
-        : sameImageBonus * imageShare(fleet, host, step.image);
+        : sameImageBonus * imageShare(host, image);
     return 3.0 + affinity - freeAfter / capacity;
 }
 
@@ -67,22 +62,26 @@
 }
 
 double backfillScore(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
-                     double capacity)
+                     ImageId image, double capacity)
 {
     const double idle = idleMilliCores(host);
     const auto need = static_cast<double>(step.taskSize.milliCores);
     if (idle < minBackfillShare * need) {
         return -1;
     }
-    const double tail = expectedTailRatio(fleet, host, step.image, need / capacity);
-    if (tail > maxExpectedTailRatio) {
+    const double disturbance =
+        disturbanceWith(fleet, host, image, std::min(idle, need));
+    if (disturbance > maxDisturbance) {
         return -1;
     }
-    return 2.0 + std::min(1.0, idle / need) - tail + idle / capacity;
+    // Hosts without serving tasks are left to the images that disturb.
+    const double harmless = host.servingMilliCores == 0 ? 0.0 : 1.0;
+    return 1.0 + harmless + std::min(1.0, idle / need) - disturbance / maxDisturbance
+        + idle / capacity;
 }
 
 /// Returns how well @p host suits; negative if it has no room.
-double scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step)
+double scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step, ImageId image)
 {
     Resources need = step.taskSize;
     if (step.backfill) {
@@ -93,11 +92,11 @@
     }
     const auto capacity = static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
     if (step.backfill) {
-        return backfillScore(fleet, host, step, capacity);
+        return backfillScore(fleet, host, step, image, capacity);
     }
     const auto freeAfter = static_cast<double>(host.capacity.milliCores - host.committed.milliCores
                                                - need.milliCores);
-    return step.tailTarget.count() > 0 ? servingScore(fleet, host, step, capacity, freeAfter)
+    return step.tailTarget.count() > 0 ? servingScore(host, image, capacity, freeAfter)
                                        : urgentScore(host, capacity, freeAfter);
 }
 
@@ -111,6 +110,16 @@
         - static_cast<double>(host.backfillMilliCores);
 }
 
+double usableMilliCores(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
+                        ImageId image)
+{
+    const auto need = static_cast<double>(step.taskSize.milliCores);
+    if (disturbanceOf(fleet, host, image, need) > maxDisturbance) {
+        return 0;
+    }
+    return std::max(idleMilliCores(host) + static_cast<double>(host.backfillMilliCores), 0.0);
+}
+
 bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step)
 {
     Resources need = step.taskSize;
@@ -134,7 +143,7 @@
         if (!isEligible(fleet, host, job.spec.terms.service, spec, now)) {
             continue;
         }
-        double score = scoreOf(fleet, host, spec);
+        double score = scoreOf(fleet, host, spec, job.steps[step].image);
         if (score < 0) {
             continue;
         }
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -11,12 +11,18 @@
 /// Part of a backfill task's processors that a host must have left. Below it a task runs slower
 /// than it would by waiting for one of the tasks there to end.
 inline constexpr double minBackfillShare = 0.7;
-/// Tail-to-target ratio that a backfill task may bring a serving task to.
-inline constexpr double maxExpectedTailRatio = 0.85;
+/// Part of a tail's target that backfill tasks may cause together. Serving tasks alone reach 0.88 of
+/// it at the peaks of their load.
+inline constexpr double maxDisturbance = 0.15;
 
 /// Returns whether any host, however busy, could ever run a task of @p step.
 bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step);
 
+/// Returns the processors on @p host that a backfill task of @p step could ever use: all that
+/// serving and urgent tasks leave, or none if its image disturbs what serves there.
+double usableMilliCores(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
+                        ImageId image);
+
 /// Returns the processors that backfill tasks can use on @p host beside those they use already.
 double idleMilliCores(const FleetHost &host);
 
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -17,9 +17,27 @@
 
 enum class Lateness : std::uint8_t { InTime, Late, Worthless };
 
+/// Declared run time of the longest chain of steps that are not done.
+milliseconds remainingChain(const JobRuntime &job)
+{
+    std::vector<milliseconds> endOf(job.steps.size(), milliseconds(0));
+    milliseconds longest{0};
+    for (std::size_t n = 0; n < job.steps.size(); ++n) {
+        milliseconds start{0};
+        for (const std::uint32_t dependency : job.spec.steps[n].dependsOn) {
+            start = std::max(start, endOf[dependency]);
+        }
+        const bool done = job.steps[n].open && isStepDone(job.progress, n);
+        endOf[n] = start + (done ? milliseconds(0) : job.spec.steps[n].estimatedRunTime);
+        longest = std::max(longest, endOf[n]);
+    }
+    return longest;
+}
+
 Lateness latenessOf(const JobRuntime &job, TimePoint now)
 {
-    if (now <= job.objective) {
+    // A job that cannot end in time any more must not hold up one that can.
+    if (now + remainingChain(job) <= job.objective) {
         return Lateness::InTime;
     }
     const auto allowed = job.objective - job.acceptedAt;
@@ -41,6 +59,21 @@
     }
 };
 
+/// Returns whether the usable hosts together have room for two tasks of the step.
+bool hasRoomTwice(const FleetState &fleet, const ServiceId &service, const StepSpec &step)
+{
+    int places = 0;
+    for (const auto &[id, host] : fleet.hosts) {
+        if (!isUsable(fleet, host) || host.service != service) {
+            continue;
+        }
+        const Resources free = host.capacity - host.committed;
+        places += fits(step.taskSize, free) ? 1 : 0;
+        places += fits(step.taskSize + step.taskSize, free) ? 1 : 0;
+    }
+    return places >= 2;
+}
+
 } // namespace
 
 std::vector<ReadyStep> readySteps(FleetState &fleet, TimePoint now)
@@ -103,9 +136,10 @@
             spare += static_cast<double>(other.capacity.milliCores - other.servingMilliCores);
         }
     }
-    const Resources free = host.capacity - host.committed;
-    return spare >= static_cast<double>(step.taskSize.milliCores)
-        || (waited >= longWait && fits(step.taskSize + step.taskSize, free));
+    if (spare >= static_cast<double>(step.taskSize.milliCores)) {
+        return true;
+    }
+    return waited >= longWait && hasRoomTwice(fleet, host.service, step);
 }
 
 } // namespace acaciadeal
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -26,7 +26,7 @@
 void updateUrgentDemand(FleetState &fleet, TimePoint now);
 
 /// Returns whether a long-running task may take @p host now. The room that short tasks need from
-/// time to time is kept free, unless the task has waited for @p waited long and the host has room
+/// time to time is kept free, but for a task that has waited for seconds while the fleet has room
 /// for it twice over.
 bool mayTakeForLong(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
                     Duration waited);
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -416,7 +416,7 @@
     if (std::exchange(planScheduled, true)) {
         return;
     }
-    env.loop.post(guarded([this] {
+    env.loop.postAfter(options.planDelay, guarded([this] {
         planScheduled = false;
         planNow();
     }));
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -36,6 +36,9 @@
     Duration flushDelay = milliseconds(60);
     /// The same if a job has ended, whose caller waits.
     Duration urgentFlushDelay = milliseconds(4);
+    /// Time for which events are gathered before the next decisions; small beside the slack of the
+    /// shortest tasks, and bounds the processor time that decisions take.
+    Duration planDelay = milliseconds(5);
     Duration listHostsEvery = milliseconds(600);
     Duration readJobsEvery = milliseconds(1000);
     /// Housekeeping of leases, delays and repeated orders.
