Leave hosts that are open to all images to the work that has no others

Change: each round rates how much of the waiting work a host could take, and work that can run anywhere prefers hosts that can take little of it.

--- a/packages/daemon/plugins.cpp
+++ b/packages/daemon/plugins.cpp
@@ -2,9 +2,9 @@
 
 #include "fleet/fleetadapter.h"
 #include "kernel/pluginregistry.h"
-#include "store/platform.h"
 #include "requests/routingpolicy.h"
 #include "scheduling/placementpolicy.h"
+#include "store/platform.h"
 
 namespace acaciadeal {
 namespace {
--- a/packages/dispatch/admission.cpp
+++ b/packages/dispatch/admission.cpp
@@ -25,12 +25,11 @@
 double coreSeconds(const StepSpec &step, double tasks)
 {
     return tasks * static_cast<double>(step.taskSize.milliCores) / 1000.0
-        * static_cast<double>(step.estimatedRunTime.count()) / 1000.0;
+           * static_cast<double>(step.estimatedRunTime.count()) / 1000.0;
 }
 
 /// Processors that the narrowest backfill step of @p job can use.
-double usableCores(FleetState &fleet, const JobSpec &job,
-                   std::map<ImageId, double> &byImage)
+double usableCores(FleetState &fleet, const JobSpec &job, std::map<ImageId, double> &byImage)
 {
     double narrowest = std::numeric_limits<double>::infinity();
     for (const StepSpec &step : job.steps) {
@@ -41,7 +40,8 @@
         const auto [it, missing] = byImage.try_emplace(image, 0.0);
         if (missing) {
             for (const auto &[id, host] : fleet.hosts) {
-                it->second += isUsable(fleet, host) ? usableMilliCores(fleet, host, step, image) : 0.0;
+                it->second +=
+                    isUsable(fleet, host) ? usableMilliCores(fleet, host, step, image) : 0.0;
             }
         }
         narrowest = std::min(narrowest, it->second);
@@ -107,7 +107,8 @@
     }
     const milliseconds wait = toMilliseconds(decision.backlogCoreSeconds / decision.cores);
     const milliseconds chain = declaredChain(job);
-    const auto objective = std::chrono::duration_cast<milliseconds>(chain * job.terms.slowdownFactor)
+    const auto objective =
+        std::chrono::duration_cast<milliseconds>(chain * job.terms.slowdownFactor)
         + job.terms.targetLatency;
     const auto waited = std::chrono::duration_cast<milliseconds>(now - asked);
     const milliseconds slack = worthlessAfter * objective - chain - waited;
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -84,7 +84,8 @@
             TaskRuntime &member = job.steps[key.step].tasks[n];
             if (member.phase != TaskPhase::Done) {
                 progress.done[n] = true;
-                returnToWaiting(dispatcher, job, {key.job, key.occurrence, key.step, n}, member, now);
+                returnToWaiting(dispatcher, job, {key.job, key.occurrence, key.step, n}, member,
+                                now);
                 member.phase = TaskPhase::Done;
                 --job.steps[key.step].waiting;
             }
@@ -138,7 +139,7 @@
 bool isCurrent(const TaskRuntime &task, const HostId &host, std::uint64_t run)
 {
     return task.host == host && task.run == run && task.phase != TaskPhase::Waiting
-        && task.phase != TaskPhase::Done;
+           && task.phase != TaskPhase::Done;
 }
 
 void takeEnd(Dispatcher &dispatcher, FleetHost &host, const RunEnding &ended, TimePoint now)
@@ -237,7 +238,8 @@
         }
         const bool confirmed =
             task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping;
-        const bool settled = (confirmed && sentAt > task->since)
+        const bool settled =
+            (confirmed && sentAt > task->since)
             || (task->phase == TaskPhase::Uncertain && fenced && sentAt > task->since);
         if (settled) {
             note(dispatcher, {.kind = Finding::Kind::RunLost,
@@ -258,9 +260,9 @@
     if (task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Done) {
         return false;
     }
-    const bool due = task.phase == TaskPhase::Running
-        || (task.phase == TaskPhase::Stopping
-            && now - task.since >= dispatcher.options.stopRepeat);
+    const bool due =
+        task.phase == TaskPhase::Running
+        || (task.phase == TaskPhase::Stopping && now - task.since >= dispatcher.options.stopRepeat);
     if (due) {
         task.phase = TaskPhase::Stopping;
         task.since = now;
@@ -325,8 +327,7 @@
 {
     const StepSpec &spec = job.spec.steps[step];
     if (isPlain(spec)) {
-        const auto [it, added] =
-            noRoom.try_emplace(kindOf(job, step), spec.taskSize.milliCores);
+        const auto [it, added] = noRoom.try_emplace(kindOf(job, step), spec.taskSize.milliCores);
         it->second = std::min(it->second, spec.taskSize.milliCores);
     }
 }
@@ -374,8 +375,8 @@
     job->unaccounted = unaccounted;
     job->acceptedAt = now;
     job->chain = declaredChain(job->spec);
-    const auto allowed = std::chrono::duration_cast<milliseconds>(
-        job->chain * job->spec.terms.slowdownFactor);
+    const auto allowed =
+        std::chrono::duration_cast<milliseconds>(job->chain * job->spec.terms.slowdownFactor);
     job->objective = now + allowed + job->spec.terms.targetLatency;
     for (std::size_t n = 0; n < job->spec.steps.size(); ++n) {
         StepRuntime step;
@@ -512,6 +513,7 @@
     dispatcher.strayStops.clear();
     stopEndedJobs(dispatcher, orders, now);
     updateUrgentDemand(dispatcher.fleet, now);
+    rateOpenness(dispatcher.fleet);
     NoRoomMemo noRoom;
     for (const ReadyStep &ready : readySteps(dispatcher.fleet, now)) {
         startStep(dispatcher, ready, noRoom, orders, now);
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -68,7 +68,7 @@
 bool isUsable(const FleetState &fleet, const FleetHost &host)
 {
     return host.listed && host.reported && host.reachable && !host.leaving
-        && !fleet.evacuated.contains(host.failureDomain);
+           && !fleet.evacuated.contains(host.failureDomain);
 }
 
 FleetSummary summarize(const FleetState &fleet)
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -119,6 +119,9 @@
     /// Committed processors of serving tasks, and processors of backfill tasks, by image.
     ImageUse servingUse;
     ImageUse backfillUse;
+    /// Share of the waiting backfill work that could run here without disturbing; 1 if nothing
+    /// serves here. See rateOpenness().
+    double openness = 1;
     /// Highest end number that was taken in, and the highest whose effect is durable.
     std::uint64_t seenEnd = 0;
     std::uint64_t durableEnd = 0;
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -159,9 +159,8 @@
     for (const auto &[serving, cores] : host.servingUse) {
         const double present =
             contributionOf(fleet.interference, serving, host.backfillUse, capacity);
-        highest = std::max(highest, present
-                               + slopeOf(fleet.interference, serving, image) * milliCores
-                                   / capacity);
+        highest = std::max(
+            highest, present + slopeOf(fleet.interference, serving, image) * milliCores / capacity);
     }
     return highest;
 }
@@ -172,7 +171,7 @@
     double highest = 0;
     for (const auto &[serving, cores] : host.servingUse) {
         highest = std::max(highest, slopeOf(fleet.interference, serving, image) * milliCores
-                               / capacityOf(host));
+                                        / capacityOf(host));
     }
     return highest;
 }
@@ -196,8 +195,7 @@
         }
         const double own =
             task.load / target - contributionOf(fleet.interference, image, used, capacity);
-        const double full =
-            contributionOf(fleet.interference, image, host.backfillUse, capacity);
+        const double full = contributionOf(fleet.interference, image, host.backfillUse, capacity);
         if (full >= minContribution) {
             wanted = std::min(wanted, 100.0 * std::max(wantedRatio - own, 0.0) / full);
         }
--- a/packages/dispatch/interference.h
+++ b/packages/dispatch/interference.h
@@ -63,10 +63,12 @@
 
 /// Returns the largest part of a serving task's tail ratio on @p host that backfill tasks would
 /// cause if one with @p image and @p milliCores were added; 0 if nothing serves there.
-double disturbanceWith(const FleetState &fleet, const FleetHost &host, ImageId image, double milliCores);
+double disturbanceWith(const FleetState &fleet, const FleetHost &host, ImageId image,
+                       double milliCores);
 
 /// The same for the new task alone.
-double disturbanceOf(const FleetState &fleet, const FleetHost &host, ImageId image, double milliCores);
+double disturbanceOf(const FleetState &fleet, const FleetHost &host, ImageId image,
+                     double milliCores);
 
 /// Adjusts the speed of the host's disturbing backfill tasks to the tails of its serving tasks.
 ///
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -25,7 +25,7 @@
                 const StepSpec &step, TimePoint now)
 {
     return isUsable(fleet, host) && host.service == service && now >= host.avoidUntil
-        && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
+           && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
 }
 
 /// Returns the share of the host's serving processors that belong to @p image.
@@ -48,17 +48,19 @@
 /// Packs serving tasks: hosts of the same image first, then fuller ones.
 double servingScore(const FleetHost &host, ImageId image, double capacity, double freeAfter)
 {
-    const double affinity = host.servingMilliCores == 0
-        ? emptyHostBonus
-        : sameImageBonus * imageShare(host, image);
+    const double affinity =
+        host.servingMilliCores == 0 ? emptyHostBonus : sameImageBonus * imageShare(host, image);
     return 3.0 + affinity - freeAfter / capacity;
 }
 
+/// Weight of leaving open hosts to the work that has no others.
+constexpr double opennessWeight = 1.5;
+
 /// Uses the gaps between packed serving tasks before the hosts that batch tasks live on.
 double urgentScore(const FleetHost &host, double capacity, double freeAfter)
 {
-    return 2.0 + (host.servingMilliCores > 0 ? 1.0 : 0.0) - freeAfter / capacity
-        - static_cast<double>(host.backfillMilliCores) / capacity;
+    return 2.0 - opennessWeight * host.openness - freeAfter / capacity
+           - static_cast<double>(host.backfillMilliCores) / capacity;
 }
 
 double backfillScore(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
@@ -69,15 +71,12 @@
     if (idle < minBackfillShare * need) {
         return -1;
     }
-    const double disturbance =
-        disturbanceWith(fleet, host, image, std::min(idle, need));
+    const double disturbance = disturbanceWith(fleet, host, image, std::min(idle, need));
     if (disturbance > maxDisturbance) {
         return -1;
     }
-    // Hosts without serving tasks are left to the images that disturb.
-    const double harmless = host.servingMilliCores == 0 ? 0.0 : 1.0;
-    return 1.0 + harmless + std::min(1.0, idle / need) - disturbance / maxDisturbance
-        + idle / capacity;
+    return 2.0 - opennessWeight * host.openness + std::min(1.0, idle / need)
+           - disturbance / maxDisturbance + idle / capacity;
 }
 
 /// Returns how well @p host suits; negative if it has no room.
@@ -94,8 +93,8 @@
     if (step.backfill) {
         return backfillScore(fleet, host, step, image, capacity);
     }
-    const auto freeAfter = static_cast<double>(host.capacity.milliCores - host.committed.milliCores
-                                               - need.milliCores);
+    const auto freeAfter =
+        static_cast<double>(host.capacity.milliCores - host.committed.milliCores - need.milliCores);
     return step.tailTarget.count() > 0 ? servingScore(host, image, capacity, freeAfter)
                                        : urgentScore(host, capacity, freeAfter);
 }
@@ -105,9 +104,9 @@
 double idleMilliCores(const FleetHost &host)
 {
     const double used = static_cast<double>(host.committed.milliCores)
-        - (1.0 - servingUse) * static_cast<double>(host.servingMilliCores);
+                        - (1.0 - servingUse) * static_cast<double>(host.servingMilliCores);
     return static_cast<double>(host.capacity.milliCores) - used
-        - static_cast<double>(host.backfillMilliCores);
+           - static_cast<double>(host.backfillMilliCores);
 }
 
 double usableMilliCores(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
@@ -129,10 +128,40 @@
     return std::any_of(fleet.hosts.begin(), fleet.hosts.end(), [&](const auto &entry) {
         const FleetHost &host = entry.second;
         return host.service == service && fits(need, host.capacity)
-            && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
+               && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
     });
 }
 
+void rateOpenness(FleetState &fleet)
+{
+    // Typical size of a task, in thousandths of a core, for rating a host.
+    constexpr double typicalNeed = 3000;
+    ImageUse waiting;
+    double total = 0;
+    for (const JobRuntime *const job : fleet.live) {
+        for (std::size_t n = 0; n < job->steps.size(); ++n) {
+            const StepSpec &step = job->spec.steps[n];
+            if (step.backfill && job->steps[n].waiting > 0) {
+                const double need =
+                    static_cast<double>(step.taskSize.milliCores) * job->steps[n].waiting;
+                addUse(waiting, job->steps[n].image, need);
+                total += need;
+            }
+        }
+    }
+    for (auto &[id, host] : fleet.hosts) {
+        host.openness = host.servingMilliCores == 0 ? 1 : 0;
+        if (host.servingMilliCores == 0 || total <= 0) {
+            continue;
+        }
+        for (const auto &[image, need] : waiting) {
+            if (disturbanceOf(fleet, host, image, typicalNeed) <= maxDisturbance) {
+                host.openness += need / total;
+            }
+        }
+    }
+}
+
 FleetHost *chooseHost(FleetState &fleet, const JobRuntime &job, std::uint32_t step,
                       const TaskRuntime &task, TimePoint now)
 {
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -11,8 +11,8 @@
 /// Part of a backfill task's processors that a host must have left. Below it a task runs slower
 /// than it would by waiting for one of the tasks there to end.
 inline constexpr double minBackfillShare = 0.7;
-/// Part of a tail's target that backfill tasks may cause together. Serving tasks alone reach 0.88 of
-/// it at the peaks of their load.
+/// Part of a tail's target that backfill tasks may cause together. Serving tasks alone reach 0.88
+/// of it at the peaks of their load.
 inline constexpr double maxDisturbance = 0.15;
 
 /// Returns whether any host, however busy, could ever run a task of @p step.
@@ -26,13 +26,18 @@
 /// Returns the processors that backfill tasks can use on @p host beside those they use already.
 double idleMilliCores(const FleetHost &host);
 
+/// Notes for each host how much of the backfill work that waits could run there without disturbing
+/// what serves. Called once before a round of chooseHost().
+void rateOpenness(FleetState &fleet);
+
 /// Chooses the host for one task of @p job's step @p step, or nullptr if none has room now.
 ///
 /// Load pattern: serving tasks hold most processors for long, urgent short tasks arrive in bunches
 /// and need theirs whole, and batch tasks live on what is idle but disturb what serves beside them.
 /// Serving tasks are packed onto as few hosts as possible and beside others of their image, because
 /// which batch tasks disturb them depends on the image; urgent tasks fill the gaps of the packed
-/// hosts first; batch tasks go where the images are known not to disturb, or the tails are low.
+/// hosts first; batch tasks go where their images do not disturb. What can run anywhere leaves the
+/// hosts that are open to all images to those that have no others.
 FleetHost *chooseHost(FleetState &fleet, const JobRuntime &job, std::uint32_t step,
                       const TaskRuntime &task, TimePoint now);
 
--- a/packages/dispatch/taskrun.cpp
+++ b/packages/dispatch/taskrun.cpp
@@ -4,8 +4,8 @@
 
 std::string toString(const TaskKey &task)
 {
-    std::string text = task.job.value + "/" + std::to_string(task.step) + "/"
-        + std::to_string(task.index);
+    std::string text =
+        task.job.value + "/" + std::to_string(task.step) + "/" + std::to_string(task.index);
     if (task.occurrence > 0) {
         text += "#" + std::to_string(task.occurrence);
     }
--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -116,10 +116,12 @@
                          .peer = settings.peerListen},
         OwnershipCallbacks{
             .onHeld = [this](std::uint64_t epoch, TimePoint since) { hold(epoch, since); },
-            .onLost = [this](const std::string &) { lose(); }});
-    operators =
-        std::make_unique<OperatorWatch>(loop, platform, adapter.operators(), OperatorWatchOptions{},
-                                        [this] { onOperators(); });
+            .onLost =
+                [this](const std::string &) {
+                    lose();
+                }});
+    operators = std::make_unique<OperatorWatch>(loop, platform, adapter.operators(),
+                                                OperatorWatchOptions{}, [this] { onOperators(); });
     front = std::make_unique<JobFront>(
         JobFrontEnvironment{.loop = loop,
                             .platform = platform,
@@ -137,13 +139,15 @@
 {
     lose();
     holder = std::make_shared<FleetHolder>(
-        FleetHolderEnvironment{
-            .loop = loop,
-            .platform = platform,
-            .hosts = adapter.hosts(client),
-            .metrics = metrics,
-            .mayAct = [this] { return ownership->mayAct(); },
-            .onFenced = [this](const std::string &reason) { ownership->depose(reason); }},
+        FleetHolderEnvironment{.loop = loop,
+                               .platform = platform,
+                               .hosts = adapter.hosts(client),
+                               .metrics = metrics,
+                               .mayAct = [this] { return ownership->mayAct(); },
+                               .onFenced =
+                                   [this](const std::string &reason) {
+                                       ownership->depose(reason);
+                                   }},
         FleetHolderOptions{.epoch = epoch, .previousStoppedAt = since});
     if (operators->view() != nullptr) {
         holder->setEvacuated(operators->view()->evacuated);
@@ -179,20 +183,24 @@
                 respond(Refusal{{ResultCode::UnknownMessage, "not a question about jobs"}});
             }
         },
-        [](const Error &error) { logEvent(EventId::FrameRefused, {{"message", error.message}}); });
+        [](const Error &error) {
+            logEvent(EventId::FrameRefused, {{"message", error.message}});
+        });
     if (auto started = peerServer->start(); !started) {
         return started;
     }
-    const CallerEnvironment environment{.jobs = *front,
-                                        .view = [this] { return operators->view(); }};
-    callers = std::make_unique<HttpServer>(
-        loop, HttpServerOptions{.listen = settings.httpListen}, adapter.callers(environment));
-    readiness = std::make_unique<HttpServer>(
-        loop, HttpServerOptions{.listen = settings.fleet->readyListen},
-        [this](const HttpRequest &, const HttpResponder &respond) {
-            const bool ready = !stopping && operators->view() != nullptr;
-            respond({.status = ready ? statusOk : statusUnavailable});
-        });
+    const CallerEnvironment environment{.jobs = *front, .view = [this] {
+                                            return operators->view();
+                                        }};
+    callers = std::make_unique<HttpServer>(loop, HttpServerOptions{.listen = settings.httpListen},
+                                           adapter.callers(environment));
+    readiness =
+        std::make_unique<HttpServer>(loop, HttpServerOptions{.listen = settings.fleet->readyListen},
+                                     [this](const HttpRequest &, const HttpResponder &respond) {
+                                         const bool ready =
+                                             !stopping && operators->view() != nullptr;
+                                         respond({.status = ready ? statusOk : statusUnavailable});
+                                     });
     for (HttpServer *const server : {callers.get(), readiness.get()}) {
         if (auto started = server->start(); !started) {
             return started;
@@ -204,8 +212,8 @@
     metricsServer = std::make_unique<HttpServer>(
         loop, HttpServerOptions{.listen = settings.fleet->metricsListen},
         [this](const HttpRequest &, const HttpResponder &respond) {
-            respond({statusOk, {{"content-type", "text/plain; version=0.0.4"}},
-                     metrics.exposition()});
+            respond(
+                {statusOk, {{"content-type", "text/plain; version=0.0.4"}}, metrics.exposition()});
         });
     return metricsServer->start();
 }
@@ -254,9 +262,7 @@
     const Duration spent = bootNow() - begun;
     waitFor(impl.loop, lingerTime + drainTimeout, [&impl, spent](std::function<void()> done) {
         impl.loop.postAfter(std::max(lingerTime - spent, Duration(0)),
-                            [&impl, done = std::move(done)] {
-                                impl.callers->drain(done);
-                            });
+                            [&impl, done = std::move(done)] { impl.callers->drain(done); });
     });
 }
 
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -231,8 +231,8 @@
 {
     for (auto it = links.begin(); it != links.end();) {
         const FleetHost *const host = findHost(dispatcher.fleet, it->first);
-        const bool gone = host == nullptr
-            || (!host->listed && !host->reachable && now >= it->second.leaseEnd);
+        const bool gone =
+            host == nullptr || (!host->listed && !host->reachable && now >= it->second.leaseEnd);
         if (!gone || !accounted) {
             ++it;
             continue;
@@ -255,8 +255,8 @@
         HostLink &link = links[id];
         link.id = id;
         link.endpoint = endpoint;
-        link.leaseEnd = options.epoch > 1 ? options.previousStoppedAt + lapseTime(options.lease)
-                                          : now;
+        link.leaseEnd =
+            options.epoch > 1 ? options.previousStoppedAt + lapseTime(options.lease) : now;
         renew(link, milliseconds(0), now);
     }
 }
@@ -417,9 +417,9 @@
         return;
     }
     env.loop.postAfter(options.planDelay, guarded([this] {
-        planScheduled = false;
-        planNow();
-    }));
+                           planScheduled = false;
+                           planNow();
+                       }));
 }
 
 void FleetHolder::Impl::planNow()
@@ -443,9 +443,8 @@
 void FleetHolder::Impl::sendStart(const StartRun &order, TimePoint now)
 {
     const auto it = links.find(order.host);
-    const auto leaseUntil = it == links.end()
-        ? std::nullopt
-        : internal::leaseUntil(it->second, options.lease, now);
+    const auto leaseUntil =
+        it == links.end() ? std::nullopt : internal::leaseUntil(it->second, options.lease, now);
     if (!leaseUntil) {
         takeStartOutcome(dispatcher, order, StartOutcome::Unhealthy, now);
         return;
@@ -458,34 +457,34 @@
                                     {"run", std::to_string(order.run)},
                                     {"host", order.host.value},
                                     {"resumed", order.checkpoint.empty() ? "no" : "yes"}});
-    env.hosts.start(
-        callFor(link), order, *leaseUntil,
-        guarded([this, order](StartOutcome outcome, const std::string &detail) {
-            const TimePoint answeredAt = bootNow();
-            if (outcome != StartOutcome::Started) {
-                logEvent(EventId::TaskNotStarted,
-                         {{"job", order.task.job.value},
-                          {"task", toString(order.task)},
-                          {"run", std::to_string(order.run)},
-                          {"host", order.host.value},
-                          {"outcome", std::string(startOutcomeName(outcome))},
-                          {"detail", detail}});
-            }
-            takeStartOutcome(dispatcher, order, outcome, answeredAt);
-            const auto found = links.find(order.host);
-            if (outcome == StartOutcome::Fenced && found != links.end()) {
-                // Our own newer token voids orders before it; only a foreign one is news.
-                renew(found->second, milliseconds(0), answeredAt);
-            }
-            if (outcome == StartOutcome::Unknown && found != links.end()) {
-                ++found->second.bump;
-                found->second.uncertain = true;
-                renew(found->second, milliseconds(0), answeredAt);
-            }
-            if (outcome != StartOutcome::Started) {
-                planSoon();
-            }
-        }));
+    env.hosts.start(callFor(link), order, *leaseUntil,
+                    guarded([this, order](StartOutcome outcome, const std::string &detail) {
+                        const TimePoint answeredAt = bootNow();
+                        if (outcome != StartOutcome::Started) {
+                            logEvent(EventId::TaskNotStarted,
+                                     {{"job", order.task.job.value},
+                                      {"task", toString(order.task)},
+                                      {"run", std::to_string(order.run)},
+                                      {"host", order.host.value},
+                                      {"outcome", std::string(startOutcomeName(outcome))},
+                                      {"detail", detail}});
+                        }
+                        takeStartOutcome(dispatcher, order, outcome, answeredAt);
+                        const auto found = links.find(order.host);
+                        if (outcome == StartOutcome::Fenced && found != links.end()) {
+                            // Our own newer token voids orders before it; only a foreign one is
+                            // news.
+                            renew(found->second, milliseconds(0), answeredAt);
+                        }
+                        if (outcome == StartOutcome::Unknown && found != links.end()) {
+                            ++found->second.bump;
+                            found->second.uncertain = true;
+                            renew(found->second, milliseconds(0), answeredAt);
+                        }
+                        if (outcome != StartOutcome::Started) {
+                            planSoon();
+                        }
+                    }));
 }
 
 void FleetHolder::Impl::sendStop(const StopRun &order)
@@ -554,12 +553,11 @@
             const auto age = job == nullptr ? Duration(0) : bootNow() - job->acceptedAt;
             env.metrics.observe("fleet_job_seconds",
                                 {{"queue", job == nullptr ? "" : job->spec.terms.queue}}, age);
-            logEvent(
-                EventId::JobEnded,
-                {{"job", finding.job.value},
-                 {"reason", finding.reason},
-                 {"age_ms",
-                  std::to_string(std::chrono::duration_cast<milliseconds>(age).count())}});
+            logEvent(EventId::JobEnded,
+                     {{"job", finding.job.value},
+                      {"reason", finding.reason},
+                      {"age_ms",
+                       std::to_string(std::chrono::duration_cast<milliseconds>(age).count())}});
             break;
         }
         }
@@ -591,31 +589,31 @@
 void FleetHolder::Impl::logStatus()
 {
     const FleetSummary sum = summarize(dispatcher.fleet);
-    const auto cores = [](std::int64_t milliCores) { return std::to_string(milliCores / 1000); };
-    logEvent(EventId::FleetStatus, {{"hosts", std::to_string(sum.hosts)},
-                                    {"usable", std::to_string(sum.usableHosts)},
-                                    {"cores", cores(sum.capacity.milliCores)},
-                                    {"committed", cores(sum.committed.milliCores)},
-                                    {"serving", cores(sum.servingMilliCores)},
-                                    {"backfill", cores(sum.backfillMilliCores)},
-                                    {"memory_gib", std::to_string(sum.capacity.memoryMiB / 1024)},
-                                    {"memory_used_gib",
-                                     std::to_string(sum.committed.memoryMiB / 1024)},
-                                    {"live_jobs", std::to_string(dispatcher.fleet.live.size())},
-                                    {"waiting_tasks", std::to_string(sum.waitingTasks)},
-                                    {"waiting_backfill_tasks",
-                                     std::to_string(sum.waitingBackfillTasks)}});
+    const auto cores = [](std::int64_t milliCores) {
+        return std::to_string(milliCores / 1000);
+    };
+    logEvent(EventId::FleetStatus,
+             {{"hosts", std::to_string(sum.hosts)},
+              {"usable", std::to_string(sum.usableHosts)},
+              {"cores", cores(sum.capacity.milliCores)},
+              {"committed", cores(sum.committed.milliCores)},
+              {"serving", cores(sum.servingMilliCores)},
+              {"backfill", cores(sum.backfillMilliCores)},
+              {"memory_gib", std::to_string(sum.capacity.memoryMiB / 1024)},
+              {"memory_used_gib", std::to_string(sum.committed.memoryMiB / 1024)},
+              {"live_jobs", std::to_string(dispatcher.fleet.live.size())},
+              {"waiting_tasks", std::to_string(sum.waitingTasks)},
+              {"waiting_backfill_tasks", std::to_string(sum.waitingBackfillTasks)}});
     env.loop.postAfter(options.statusEvery, guarded([this] { logStatus(); }));
 }
 
 void FleetHolder::Impl::readNewJobs()
 {
-    env.platform.changes(jobTable, jobsVersion, Duration(0),
-                         guarded([this](const Result<RowChanges> &changes) {
-                             onJobChanges(changes);
-                             env.loop.postAfter(options.readJobsEvery,
-                                                guarded([this] { readNewJobs(); }));
-                         }));
+    env.platform.changes(
+        jobTable, jobsVersion, Duration(0), guarded([this](const Result<RowChanges> &changes) {
+            onJobChanges(changes);
+            env.loop.postAfter(options.readJobsEvery, guarded([this] { readNewJobs(); }));
+        }));
 }
 
 void FleetHolder::Impl::onJobChanges(const Result<RowChanges> &changes)
@@ -664,15 +662,15 @@
 
 void FleetHolder::Impl::cleanUp(TimePoint now)
 {
-    std::erase_if(askedAt, [&](const auto &entry) {
-        return now - entry.second >= options.rememberRejected;
-    });
+    std::erase_if(
+        askedAt, [&](const auto &entry) { return now - entry.second >= options.rememberRejected; });
     std::vector<JobId> &ended = dispatcher.fleet.ended;
     std::vector<JobId> old;
     for (const JobId &id : ended) {
         const JobRuntime *const job = findJob(dispatcher.fleet, id);
         const bool forget = job != nullptr && now - job->endedAt >= options.keepEnded
-            && !dispatcher.fleet.stopping.contains(id) && !dispatcher.fleet.dirty.contains(id);
+                            && !dispatcher.fleet.stopping.contains(id)
+                            && !dispatcher.fleet.dirty.contains(id);
         if (!forget || old.size() >= cleanupBatch) {
             break;
         }
@@ -747,10 +745,9 @@
     }
     if (decision.admitted) {
         impl.dispatcher.fleet.offered[job.id] = backfillWork(job);
-        impl.env.loop.postAfter(impl.options.offerValidity,
-                                impl.guarded([&impl, id = job.id] {
-                                    impl.dispatcher.fleet.offered.erase(id);
-                                }));
+        impl.env.loop.postAfter(impl.options.offerValidity, impl.guarded([&impl, id = job.id] {
+            impl.dispatcher.fleet.offered.erase(id);
+        }));
     }
     return decision;
 }
@@ -801,8 +798,7 @@
 void FleetHolder::cancel(const JobId &job, JobStateCallback callback)
 {
     Impl &impl = *m_impl;
-    const bool known = impl.loaded && !impl.finishing
-        && cancelJob(impl.dispatcher, job, bootNow());
+    const bool known = impl.loaded && !impl.finishing && cancelJob(impl.dispatcher, job, bootNow());
     if (known) {
         impl.afterEvent();
     }
--- a/packages/fleet/hostport.h
+++ b/packages/fleet/hostport.h
@@ -41,8 +41,7 @@
 /// Orders to hosts. All functions return at once and call back exactly once.
 struct HostPort
 {
-    std::function<void(const HostCall &, const StartRun &, milliseconds leaseUntil,
-                       StartCallback)>
+    std::function<void(const HostCall &, const StartRun &, milliseconds leaseUntil, StartCallback)>
         start;
     std::function<void(const HostCall &, const StopRun &, OrderCallback)> stop;
     std::function<void(const HostCall &, const PaceRun &, OrderCallback)> pace;
--- a/packages/fleet/internal/progresswriter.cpp
+++ b/packages/fleet/internal/progresswriter.cpp
@@ -27,9 +27,9 @@
 {
     const auto &hosts = m_env.fleet.hosts;
     return m_env.fleet.dirty.empty()
-        && std::all_of(hosts.begin(), hosts.end(), [](const auto &entry) {
-               return entry.second.durableEnd == entry.second.seenEnd;
-           });
+           && std::all_of(hosts.begin(), hosts.end(), [](const auto &entry) {
+                  return entry.second.durableEnd == entry.second.seenEnd;
+              });
 }
 
 void ProgressWriter::flushSoon()
@@ -37,12 +37,12 @@
     if (m_stopped || m_writing || isClean()) {
         return;
     }
-    const bool urgent = !m_waiters.empty()
-        || std::any_of(m_env.fleet.dirty.begin(), m_env.fleet.dirty.end(),
-                       [this](const JobId &id) {
-                           const JobRuntime *const job = findJob(m_env.fleet, id);
-                           return job != nullptr && isTerminal(job->progress.outcome);
-                       });
+    const bool urgent =
+        !m_waiters.empty()
+        || std::any_of(m_env.fleet.dirty.begin(), m_env.fleet.dirty.end(), [this](const JobId &id) {
+               const JobRuntime *const job = findJob(m_env.fleet, id);
+               return job != nullptr && isTerminal(job->progress.outcome);
+           });
     schedule(urgent ? m_options.urgentDelay : m_options.delay);
 }
 
--- a/packages/fleet/internal/roster.cpp
+++ b/packages/fleet/internal/roster.cpp
@@ -56,8 +56,8 @@
                 return;
             }
             if (!snapshot) {
-                m_loop.postAfter(readRetry,
-                                 [this, done = std::move(done)]() mutable { read(std::move(done)); });
+                m_loop.postAfter(
+                    readRetry, [this, done = std::move(done)]() mutable { read(std::move(done)); });
                 return;
             }
             for (const Row &row : snapshot->rows) {
@@ -100,18 +100,17 @@
     m_writing = true;
     Transaction transaction{.checks = {{rosterKey, m_version}},
                             .puts = {{rosterKey, encode(hosts)}}};
-    m_platform.commit(
-        std::move(transaction),
-        [this, hosts, done = std::move(done)](const Result<CommitVersions> &result) mutable {
-            m_writing = false;
-            if (result) {
-                m_durable = hosts;
-                m_version = result->at(rosterKey);
-                done();
-            } else if (result.error().code == ResultCode::CheckFailed) {
-                read(std::move(done));
-            }
-        });
+    m_platform.commit(std::move(transaction), [this, hosts, done = std::move(done)](
+                                                  const Result<CommitVersions> &result) mutable {
+        m_writing = false;
+        if (result) {
+            m_durable = hosts;
+            m_version = result->at(rosterKey);
+            done();
+        } else if (result.error().code == ResultCode::CheckFailed) {
+            read(std::move(done));
+        }
+    });
 }
 
 } // namespace acaciadeal::internal
--- a/packages/fleet/internal/roster.h
+++ b/packages/fleet/internal/roster.h
@@ -15,8 +15,9 @@
 
 namespace acaciadeal::internal {
 
-/// Durable list of the hosts that may hold a lease of this shard. A new holder has to hear from each
-/// of them, or wait until its lease has lapsed, before it may start a task that could be there.
+/// Durable list of the hosts that may hold a lease of this shard. A new holder has to hear from
+/// each of them, or wait until its lease has lapsed, before it may start a task that could be
+/// there.
 class Roster
 {
 public:
--- a/packages/fleet/jobfront.cpp
+++ b/packages/fleet/jobfront.cpp
@@ -139,10 +139,9 @@
         m_env.loop.postAfter(m_options.commitRetry, [this, submission] { store(submission); });
         return;
     }
-    settle(submission,
-           failure(submission->uncertain ? ResultCode::WriteOutcomeUnknown
-                                         : ResultCode::PlatformUnavailable,
-                   result.error().message));
+    settle(submission, failure(submission->uncertain ? ResultCode::WriteOutcomeUnknown
+                                                     : ResultCode::PlatformUnavailable,
+                               result.error().message));
 }
 
 void JobFront::settle(const std::shared_ptr<Submission> &submission, const Result<void> &result)
@@ -229,41 +228,39 @@
         holderState(*holder, job, false, orRead);
         return;
     }
-    askHolder(jobState, job, {}, [orRead](const Result<ForwardedAnswer> &answer) {
-        orRead(stateOfAnswer(answer));
-    });
+    askHolder(jobState, job, {},
+              [orRead](const Result<ForwardedAnswer> &answer) { orRead(stateOfAnswer(answer)); });
 }
 
 void JobFront::readState(const JobId &job, JobStateCallback callback)
 {
-    m_env.platform.read(
-        {.prefix = jobRowKey(job)},
-        [this, job, callback = std::move(callback)](const Result<std::vector<Row>> &jobRows) {
-            if (!jobRows) {
-                callback(failure(ResultCode::PlatformUnavailable, jobRows.error().message));
-                return;
-            }
-            if (jobRows->empty()) {
-                callback(failure(ResultCode::JobNotFound, "there is no such job", job.value));
-                return;
-            }
-            m_env.platform.read(
-                {.keys = {progressRowKey(job)}},
-                [jobRows, callback](const Result<std::vector<Row>> &progressRows) {
-                    if (!progressRows) {
-                        callback(
-                            failure(ResultCode::PlatformUnavailable, progressRows.error().message));
-                        return;
-                    }
-                    std::vector<Error> ignored;
-                    const auto jobs = joinJobRows(*jobRows, *progressRows, ignored);
-                    if (jobs.empty()) {
-                        callback(failure(ResultCode::CorruptSnapshot, "the rows are unreadable"));
-                        return;
-                    }
-                    callback(storedState(jobs.front()));
-                });
-        });
+    m_env.platform.read({.prefix = jobRowKey(job)}, [this, job, callback = std::move(callback)](
+                                                        const Result<std::vector<Row>> &jobRows) {
+        if (!jobRows) {
+            callback(failure(ResultCode::PlatformUnavailable, jobRows.error().message));
+            return;
+        }
+        if (jobRows->empty()) {
+            callback(failure(ResultCode::JobNotFound, "there is no such job", job.value));
+            return;
+        }
+        m_env.platform.read(
+            {.keys = {progressRowKey(job)}},
+            [jobRows, callback](const Result<std::vector<Row>> &progressRows) {
+                if (!progressRows) {
+                    callback(
+                        failure(ResultCode::PlatformUnavailable, progressRows.error().message));
+                    return;
+                }
+                std::vector<Error> ignored;
+                const auto jobs = joinJobRows(*jobRows, *progressRows, ignored);
+                if (jobs.empty()) {
+                    callback(failure(ResultCode::CorruptSnapshot, "the rows are unreadable"));
+                    return;
+                }
+                callback(storedState(jobs.front()));
+            });
+    });
 }
 
 void JobFront::cancel(const JobId &job, JobStateCallback callback)
@@ -281,9 +278,8 @@
         holderState(*holder, job, true, orStore);
         return;
     }
-    askHolder(jobCancel, job, {}, [orStore](const Result<ForwardedAnswer> &answer) {
-        orStore(stateOfAnswer(answer));
-    });
+    askHolder(jobCancel, job, {},
+              [orStore](const Result<ForwardedAnswer> &answer) { orStore(stateOfAnswer(answer)); });
 }
 
 void JobFront::storeCancellation(const JobId &job, JobStateCallback callback)
--- a/packages/fleet/jobfront.h
+++ b/packages/fleet/jobfront.h
@@ -75,7 +75,8 @@
     struct Submission;
 
     void offer(const std::shared_ptr<Submission> &submission);
-    void onOffered(const std::shared_ptr<Submission> &submission, const AdmissionDecision &decision);
+    void onOffered(const std::shared_ptr<Submission> &submission,
+                   const AdmissionDecision &decision);
     void store(const std::shared_ptr<Submission> &submission);
     void onStored(const std::shared_ptr<Submission> &submission,
                   const Result<CommitVersions> &result);
--- a/packages/fleet/operatorwatch.cpp
+++ b/packages/fleet/operatorwatch.cpp
@@ -90,8 +90,8 @@
 void OperatorWatch::take(const std::string &key, const std::string &value, bool deleted)
 {
     if (const auto domain = m_port.evacuatedBy(key)) {
-        const bool changed = deleted ? m_evacuated.erase(*domain) > 0
-                                     : m_evacuated.insert(*domain).second;
+        const bool changed =
+            deleted ? m_evacuated.erase(*domain) > 0 : m_evacuated.insert(*domain).second;
         if (changed) {
             logEvent(EventId::EvacuationChanged,
                      {{"failure_domain", domain->value}, {"evacuated", deleted ? "no" : "yes"}});
--- a/packages/fleet/ownership.cpp
+++ b/packages/fleet/ownership.cpp
@@ -39,8 +39,8 @@
     }
 }
 
-ShardOwnership::ShardOwnership(EventLoop &loop, const PlatformAdapter &platform, OwnershipOptions options,
-                     OwnershipCallbacks callbacks)
+ShardOwnership::ShardOwnership(EventLoop &loop, const PlatformAdapter &platform,
+                               OwnershipOptions options, OwnershipCallbacks callbacks)
     : m_loop(loop)
     , m_platform(platform)
     , m_options(std::move(options))
@@ -89,10 +89,9 @@
 
 void ShardOwnership::poll()
 {
-    m_platform.readTable("owner",
-                         [this, sentAt = bootNow()](const Result<RowSnapshot> &snapshot) {
-                             onRows(snapshot, sentAt);
-                         });
+    m_platform.readTable("owner", [this, sentAt = bootNow()](const Result<RowSnapshot> &snapshot) {
+        onRows(snapshot, sentAt);
+    });
 }
 
 void ShardOwnership::onRows(const Result<RowSnapshot> &snapshot, TimePoint sentAt)
@@ -136,8 +135,7 @@
 void ShardOwnership::judge(TimePoint now)
 {
     const bool ours = m_owner.epoch > 0 && m_owner.daemon == m_options.daemon;
-    const bool silent =
-        m_aliveSeenAt != TimePoint() && now - m_aliveSeenAt >= m_options.claimAfter;
+    const bool silent = m_aliveSeenAt != TimePoint() && now - m_aliveSeenAt >= m_options.claimAfter;
     // Our own earlier process is gone, so nothing acts under its epoch any more.
     if (m_owner.epoch == 0 || m_owner.released || ours || silent) {
         claim(now);
@@ -177,8 +175,8 @@
     m_confirmedAt = sentAt;
     m_ownerVersion = result->at(ownerKey());
     m_aliveVersion = result->at(aliveKey());
-    logEvent(EventId::ShardClaimed, {{"shard", m_options.shard},
-                                     {"epoch", std::to_string(m_owner.epoch)}});
+    logEvent(EventId::ShardClaimed,
+             {{"shard", m_options.shard}, {"epoch", std::to_string(m_owner.epoch)}});
     m_callbacks.onHeld(m_owner.epoch, sentAt);
     scheduleNext(m_options.renewEvery);
 }
@@ -188,8 +186,7 @@
     ++m_renewals;
     Transaction transaction{
         .checks = {{ownerKey(), m_ownerVersion}},
-        .puts = {{aliveKey(),
-                  std::to_string(m_owner.epoch) + "." + std::to_string(m_renewals)}}};
+        .puts = {{aliveKey(), std::to_string(m_owner.epoch) + "." + std::to_string(m_renewals)}}};
     m_platform.commit(std::move(transaction),
                       [this, sentAt = bootNow()](const Result<CommitVersions> &result) {
                           onRenewed(result, sentAt);
@@ -227,9 +224,9 @@
     m_held = false;
     m_aliveVersion = 0;
     m_aliveSeenAt = bootNow();
-    logEvent(EventId::ShardLost, {{"shard", m_options.shard},
-                                  {"epoch", std::to_string(m_owner.epoch)},
-                                  {"reason", reason}});
+    logEvent(
+        EventId::ShardLost,
+        {{"shard", m_options.shard}, {"epoch", std::to_string(m_owner.epoch)}, {"reason", reason}});
     m_callbacks.onLost(reason);
     scheduleNext(m_options.pollEvery);
 }
@@ -245,13 +242,12 @@
     m_owner.released = true;
     Transaction transaction{.checks = {{ownerKey(), m_ownerVersion}},
                             .puts = {{ownerKey(), encodeOwner(m_owner)}}};
-    m_platform.commit(std::move(transaction),
-                      [this, done = std::move(done)](const Result<CommitVersions> &result) {
-                          logEvent(EventId::ShardReleased,
-                                   {{"shard", m_options.shard},
-                                    {"outcome", result ? "ok" : result.error().message}});
-                          done();
-                      });
+    m_platform.commit(std::move(transaction), [this, done = std::move(done)](
+                                                  const Result<CommitVersions> &result) {
+        logEvent(EventId::ShardReleased,
+                 {{"shard", m_options.shard}, {"outcome", result ? "ok" : result.error().message}});
+        done();
+    });
 }
 
 } // namespace acaciadeal
--- a/packages/fleet/ownership.h
+++ b/packages/fleet/ownership.h
@@ -59,7 +59,7 @@
 {
 public:
     ShardOwnership(EventLoop &loop, const PlatformAdapter &platform, OwnershipOptions options,
-              OwnershipCallbacks callbacks);
+                   OwnershipCallbacks callbacks);
 
     void start();
     /// Returns whether this daemon holds the shard and may act now: no other daemon can have
