Let a holder decide that got the evacuations before its start

Cause: a daemon that claimed the shard while it knew the operators' rows set the evacuated domains before start(); the plan scheduled there was dropped by the guard of callbacks, and no later one was ever scheduled.

--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -413,7 +413,8 @@
 
 void FleetHolder::Impl::planSoon()
 {
-    if (std::exchange(planScheduled, true)) {
+    // Before start() nothing could run the plan, and after stop() nothing should.
+    if (self.expired() || std::exchange(planScheduled, true)) {
         return;
     }
     env.loop.postAfter(options.planDelay, guarded([this] {
