Grant no further lease to a silent host

Hosts that had left were also opened again from the stored roster.

Ruled out: the room that is kept for short tasks (places were free), and the recovery after a takeover (there was none).

--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -58,6 +58,7 @@
     void onHosts(const Result<std::vector<HostRecord>> &hosts);
     void takeHost(const HostRecord &record);
     void dropUnlisted(TimePoint now);
+    bool isListed(const HostId &id) const;
     void openLinks();
     void tryAccount(TimePoint now);
 
@@ -243,12 +244,18 @@
     }
 }
 
+bool FleetHolder::Impl::isListed(const HostId &id) const
+{
+    const auto it = dispatcher.fleet.hosts.find(id);
+    return it != dispatcher.fleet.hosts.end() && it->second.listed;
+}
+
 /// Renews leases only of hosts that a later holder would find in the roster.
 void FleetHolder::Impl::openLinks()
 {
     const TimePoint now = bootNow();
     for (const auto &[id, endpoint] : roster.durable()) {
-        if (links.contains(id)) {
+        if (links.contains(id) || (accounted && !isListed(id))) {
             continue;
         }
         dispatcher.fleet.hosts[id].id = id;
@@ -293,7 +300,10 @@
     if (host != nullptr) {
         renewal.acknowledged = host->durableEnd;
     }
-    renewal.leaseUntil = internal::leaseUntil(link, options.lease, now);
+    // A silent host gets no further lease: its runs could never be given up otherwise.
+    if (link.failures == 0) {
+        renewal.leaseUntil = internal::leaseUntil(link, options.lease, now);
+    }
     if (renewal.leaseUntil) {
         link.leaseEnd = std::max(link.leaseEnd, now + lapseTime(options.lease));
     }
@@ -325,12 +335,13 @@
     if (!std::exchange(host->reachable, true) && link.failures > 0) {
         logEvent(EventId::HostReachable, {{"host", id.value}});
     }
-    link.failures = 0;
+    const bool wasSilent = std::exchange(link.failures, 0) > 0;
     if (report->bornAt && host->bornAt && *report->bornAt != *host->bornAt) {
         beginNewLife(link, *host, "the host began a new life", now);
     }
     host->bornAt = report->bornAt;
-    const bool first = !link.clock;
+    // The answer to a renewal without a lease is followed by one with a lease at once.
+    const bool first = !link.clock || wasSilent;
     link.clock = internal::HostClock{.reading = report->hostClock, .readAt = now};
     if (loaded) {
         const bool fenced = token == internal::tokenOf(options.epoch, link);
