Start overdue long-running tasks first, and pause what may harm

Cause: (1) in a full fleet a cancelled job freed 49 cores at once, and short tasks took all of it while long-running ones had waited for 24 s with room for them twice over (LOST, kyu mix).

Change: a round starts long-running tasks that have waited for 2.5 s before anything else if the fleet has room for two of them; a tail over its target for 1.5 s pauses every batch task beside it.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -125,8 +125,7 @@
     dispatcher.fleet.dirty.insert(job.spec.id);
     if (runs.size() >= job.spec.terms.maxAttempts) {
         endJob(dispatcher, job, JobState::Failed,
-               "task " + describe(ended.task) + " failed " + std::to_string(runs.size())
-                   + " times",
+               "task " + describe(ended.task) + " failed " + std::to_string(runs.size()) + " times",
                now);
     }
 }
@@ -365,8 +364,23 @@
     }
 }
 
-void startStep(Dispatcher &dispatcher, const ReadyStep &ready, NoRoomMemo &noRoom, Orders &orders,
-               TimePoint now)
+/// Which waiting tasks of a step may start.
+enum class StartRule : std::uint8_t { OverdueOnly, Any };
+
+bool mayStart(const Dispatcher &dispatcher, const JobRuntime &job, const StepSpec &step,
+              const TaskRuntime &task, StartRule rule, TimePoint now)
+{
+    if (task.phase != TaskPhase::Waiting || now < task.notBefore) {
+        return false;
+    }
+    if (rule == StartRule::OverdueOnly) {
+        return isOverdue(dispatcher.fleet, job.spec.terms.service, step, now - task.since);
+    }
+    return !step.longRunning || leavesUrgentRoom(dispatcher.fleet, step);
+}
+
+void startStep(Dispatcher &dispatcher, const ReadyStep &ready, StartRule rule, NoRoomMemo &noRoom,
+               Orders &orders, TimePoint now)
 {
     JobRuntime &job = *ready.job;
     StepRuntime &step = job.steps[ready.step];
@@ -375,7 +389,7 @@
     }
     for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
         TaskRuntime &task = step.tasks[n];
-        if (task.phase != TaskPhase::Waiting || now < task.notBefore) {
+        if (!mayStart(dispatcher, job, job.spec.steps[ready.step], task, rule, now)) {
             continue;
         }
         FleetHost *const host = chooseHost(dispatcher.fleet, job, ready.step, task, now);
@@ -383,11 +397,6 @@
             remember(noRoom, job, ready.step);
             return;
         }
-        if (job.spec.steps[ready.step].longRunning
-            && !mayTakeForLong(dispatcher.fleet, *host, job.spec.steps[ready.step],
-                               now - task.since)) {
-            return;
-        }
         startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
     }
 }
@@ -550,8 +559,14 @@
     updateUrgentDemand(dispatcher.fleet, now);
     rateOpenness(dispatcher.fleet);
     NoRoomMemo noRoom;
-    for (const ReadyStep &ready : readySteps(dispatcher.fleet, now)) {
-        startStep(dispatcher, ready, noRoom, orders, now);
+    const std::vector<ReadyStep> steps = readySteps(dispatcher.fleet, now);
+    for (const ReadyStep &ready : steps) {
+        if (ready.job->spec.steps[ready.step].longRunning) {
+            startStep(dispatcher, ready, StartRule::OverdueOnly, noRoom, orders, now);
+        }
+    }
+    for (const ReadyStep &ready : steps) {
+        startStep(dispatcher, ready, StartRule::Any, noRoom, orders, now);
     }
     orders.paces = std::move(dispatcher.paces);
     dispatcher.paces.clear();
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -100,8 +100,8 @@
     const Orders orders = startAll(dispatcher, at(20));
     REQUIRE(orders.starts.size() == 1);
     CHECK(orders.starts[0].task == key("j", 0, 1));
-    report(dispatcher, "h",
-           {{.number = 3, .task = key("j", 0, 1), .run = 1, .end = RunEnd::Done}}, at(30));
+    report(dispatcher, "h", {{.number = 3, .task = key("j", 0, 1), .run = 1, .end = RunEnd::Done}},
+           at(30));
     CHECK(stateOf(*findJob(dispatcher.fleet, {"j"})) == JobState::Completed);
 }
 
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -137,6 +137,10 @@
     TimePoint paceChangedAt;
     /// Highest ratio of a serving task's tail to its target in the last report.
     double tailRatio = 0;
+    /// Since when that ratio has been above 1 without a break; unset below.
+    std::optional<TimePoint> overTargetSince;
+    /// Whether all backfill tasks here stand still because of it, whatever the model says.
+    bool backfillPaused = false;
 };
 
 /// Everything that the holder of a shard knows. Not thread-safe; used by one control thread.
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -34,6 +34,11 @@
 constexpr double caution = 0.5;
 /// Higher ratios say no more than that the host is far beyond its knee.
 constexpr double maxObservedRatio = 3.0;
+/// Time over the target after which the model is no longer trusted. Users feel a tail that is over
+/// its target for 4 s; an order and the averaging window of the tail take 1 s of that.
+constexpr Duration trustedFor = milliseconds(1500);
+/// Ratio below which a pause ends.
+constexpr double pauseEndsBelow = 0.85;
 /// Smallest contribution to a ratio for which a backfill task is slowed.
 constexpr double disturbingSlope = 0.3;
 
@@ -180,6 +185,23 @@
 {
     if (host.backfillMilliCores == 0) {
         host.pace = 100;
+        host.overTargetSince.reset();
+        host.backfillPaused = false;
+        return;
+    }
+    if (host.tailRatio <= 1) {
+        host.overTargetSince.reset();
+    } else if (!host.overTargetSince) {
+        host.overTargetSince = now;
+    }
+    if (host.overTargetSince && now - *host.overTargetSince >= trustedFor) {
+        host.backfillPaused = true;
+    } else if (host.tailRatio < pauseEndsBelow) {
+        host.backfillPaused = false;
+    }
+    if (host.backfillPaused) {
+        host.pace = 0;
+        host.paceChangedAt = now;
         return;
     }
     if (now - host.paceChangedAt < settleTime) {
@@ -223,9 +245,10 @@
         }
         const ImageId image = job->steps[key.step].image;
         const bool disturbs =
-            std::any_of(host.servingUse.begin(), host.servingUse.end(), [&](const auto &entry) {
-                return slopeOf(fleet.interference, entry.first, image) >= disturbingSlope;
-            });
+            host.backfillPaused
+            || std::any_of(host.servingUse.begin(), host.servingUse.end(), [&](const auto &entry) {
+                   return slopeOf(fleet.interference, entry.first, image) >= disturbingSlope;
+               });
         const int pace = disturbs ? host.pace : 100;
         if (task->pace != pace) {
             task->pace = pace;
--- a/packages/dispatch/interference.h
+++ b/packages/dispatch/interference.h
@@ -75,7 +75,8 @@
 /// Load pattern: batch tasks beside a serving task push its tail over the target, by amounts that
 /// differ by image and change within seconds. The model tells which part of a tail they cause, so
 /// one step brings the tail back below its target, and the speed returns as room does. Images that
-/// do not disturb what serves there keep their speed.
+/// do not disturb what serves there keep their speed. A tail that stays over its target all the
+/// same pauses every backfill task beside it: the model may be wrong.
 void adjustPace(const FleetState &fleet, FleetHost &host, TimePoint now);
 
 /// Adds an order for each running backfill task whose speed differs from the one it should have.
--- /dev/null
+++ b/packages/dispatch/interference_test.cpp
@@ -0,0 +1,168 @@
+#include "dispatch/dispatcher.h"
+#include "dispatch/interference.h"
+#include "dispatch/placement.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+const TimePoint start = TimePoint(std::chrono::hours(1));
+
+/// Replays the load that was seen on the users' days: a serving image with a swinging base, beside
+/// one batch image that disturbs it and one that does not.
+struct Replay
+{
+    InterferenceModel model;
+    ImageId serving = imageId(model, "serving");
+    ImageId heavy = imageId(model, "heavy");
+    ImageId light = imageId(model, "light");
+
+    void play(int reports)
+    {
+        for (int n = 0; n < reports; ++n) {
+            const double swing = 0.2 * ((n * 7) % 11 - 5) / 5.0;
+            const double heavyShare = n % 3 == 0 ? 0.15 : 0.0;
+            const double lightShare = n % 2 == 0 ? 0.2 : 0.0;
+            ImageUse use;
+            if (heavyShare > 0) {
+                addUse(use, heavy, heavyShare * 32000);
+            }
+            if (lightShare > 0) {
+                addUse(use, light, lightShare * 32000);
+            }
+            observeTail(model, serving, 0.45 + swing + 2.5 * heavyShare, use, 32000);
+        }
+    }
+};
+
+/// A host with one serving and one batch task, both running.
+struct Crowded
+{
+    Dispatcher dispatcher;
+    FleetHost &host;
+    TaskRuntime *serving = nullptr;
+
+    Crowded()
+        : host(dispatcher.fleet.hosts[{"h"}])
+    {
+        host.id = {"h"};
+        host.service = {"svc"};
+        host.capacity = {.milliCores = 32000, .memoryMiB = 64000};
+        host.listed = true;
+        host.reachable = true;
+        host.reported = true;
+        run("s", {.taskSize = {.milliCores = 6000},
+                  .longRunning = true,
+                  .image = "serving",
+                  .tailTarget = milliseconds(50)});
+        run("b", {.taskSize = {.milliCores = 3000},
+                  .estimatedRunTime = milliseconds(1000),
+                  .image = "batch",
+                  .backfill = true});
+        serving = findTask(dispatcher.fleet, {.job = {"s"}});
+    }
+
+    void run(const std::string &id, const StepSpec &step)
+    {
+        JobSpec job{.id = {id}, .terms = {.service = {"svc"}, .maxAttempts = 3}, .steps = {step}};
+        JobProgress empty = emptyProgress(job);
+        addJob(dispatcher, std::move(job), std::move(empty), 0, false, start);
+        for (const StartRun &order : plan(dispatcher, start).starts) {
+            takeStartOutcome(dispatcher, order, StartOutcome::Started, start);
+        }
+    }
+
+    /// Returns the speeds that were ordered after a report with this tail.
+    std::vector<int> report(int tailMs, double batchLoad, Duration after)
+    {
+        HostReport report;
+        report.active.push_back(
+            {.task = {.job = {"s"}}, .run = 1, .percent = 100, .load = 1.0 * tailMs});
+        report.active.push_back(
+            {.task = {.job = {"b"}}, .run = 1, .percent = 50, .load = batchLoad});
+        takeReport(dispatcher, {"h"}, report, start + after, true, start + after);
+        std::vector<int> speeds;
+        for (const PaceRun &order : plan(dispatcher, start + after).paces) {
+            speeds.push_back(order.percent);
+        }
+        return speeds;
+    }
+};
+
+} // namespace
+
+// Guards against a model that blames an image for what another one does, which would keep most
+// batch tasks from most hosts.
+TEST_CASE("the model tells disturbing images from harmless ones")
+{
+    Replay replay;
+    replay.play(600);
+    CHECK(slopeOf(replay.model, replay.serving, replay.heavy)
+          == doctest::Approx(2.5).epsilon(0.25));
+    CHECK(slopeOf(replay.model, replay.serving, replay.light) < 0.3);
+}
+
+// Guards against pairs that are never tried because nothing is known of them.
+TEST_CASE("an unknown pair is assumed to disturb little enough to be tried")
+{
+    InterferenceModel model;
+    const ImageId serving = imageId(model, "s");
+    const ImageId batch = imageId(model, "b");
+    CHECK(slopeOf(model, serving, batch) * 0.1 <= maxDisturbance);
+}
+
+// Guards against harm: a serving task over its target for seconds while a batch task of an image
+// that the model holds harmless works on beside it.
+TEST_CASE("a tail that stays over its target pauses every batch task beside it")
+{
+    Crowded crowded;
+    InterferenceModel &model = crowded.dispatcher.fleet.interference;
+    const ImageId serving = imageId(model, "serving");
+    const ImageId batch = imageId(model, "batch");
+    model.slope[serving * maxImages + batch] = {.value = 0, .variance = 0};
+    CHECK(crowded.report(60, 3000, milliseconds(700)).empty());
+    CHECK(crowded.report(60, 3000, milliseconds(1500)).empty());
+    const std::vector<int> paused = crowded.report(60, 3000, milliseconds(2300));
+    CHECK(paused == std::vector<int>{0});
+    // It goes on once the tail has room again.
+    const std::vector<int> resumed = crowded.report(20, 0, milliseconds(3000));
+    REQUIRE(resumed.size() == 1);
+    CHECK(resumed[0] > 0);
+}
+
+// Guards against a speed that never rises again from 0.
+TEST_CASE("a batch task that stands still speeds up when the tail is low")
+{
+    Crowded crowded;
+    crowded.host.pace = 0;
+    const std::vector<int> speeds = crowded.report(15, 0, milliseconds(700));
+    REQUIRE(speeds.size() == 1);
+    CHECK(speeds[0] > 0);
+}
+
+// Guards against batch tasks beside serving tasks that they disturb while other hosts are free.
+TEST_CASE("a disturbing batch task goes to the host without serving tasks")
+{
+    Crowded crowded;
+    InterferenceModel &model = crowded.dispatcher.fleet.interference;
+    const ImageId serving = imageId(model, "serving");
+    const ImageId heavy = imageId(model, "heavy");
+    model.slope[serving * maxImages + heavy] = {.value = 3, .variance = 0.01};
+    const JobSpec spec{.id = {"x"},
+                       .terms = {.service = {"svc"}, .maxAttempts = 3},
+                       .steps = {{.taskSize = {.milliCores = 3000},
+                                  .estimatedRunTime = milliseconds(1000),
+                                  .image = "heavy",
+                                  .backfill = true}}};
+    addJob(crowded.dispatcher, spec, emptyProgress(spec), 0, false, start);
+    CHECK(plan(crowded.dispatcher, start).starts.empty());
+    FleetHost &free = crowded.dispatcher.fleet.hosts[{"free"}];
+    free = crowded.host;
+    free.id = {"free"};
+    vacateAll(free);
+    const Orders orders = plan(crowded.dispatcher, start);
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].host.value == "free");
+}
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -64,8 +64,8 @@
            - static_cast<double>(host.backfillMilliCores) / capacity;
 }
 
-std::optional<double> backfillScore(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
-                     ImageId image, double capacity)
+std::optional<double> backfillScore(const FleetState &fleet, const FleetHost &host,
+                                    const StepSpec &step, ImageId image, double capacity)
 {
     const double idle = idleMilliCores(host);
     const auto need = static_cast<double>(step.taskSize.milliCores);
@@ -81,7 +81,8 @@
 }
 
 /// Returns how well @p host suits; nothing if it has no room.
-std::optional<double> scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step, ImageId image)
+std::optional<double> scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
+                              ImageId image)
 {
     Resources need = step.taskSize;
     if (step.backfill) {
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -12,8 +12,9 @@
 /// Time in which the remembered peak of the short tasks' demand halves; two of the usual waves of
 /// load.
 constexpr double demandHalfLifeSeconds = 20.0;
-/// Wait after which a long-running task takes room that is kept for short ones.
-constexpr Duration longWait = std::chrono::seconds(3);
+/// Wait after which a long-running task takes room that is kept for short ones. Users allow 6 s
+/// after an end, and 3 s more while there is room.
+constexpr Duration longWait = milliseconds(2500);
 
 enum class Lateness : std::uint8_t { InTime, Late, Worthless };
 
@@ -126,20 +127,22 @@
     fleet.urgentDemandAt = now;
 }
 
-bool mayTakeForLong(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
-                    Duration waited)
+bool isOverdue(const FleetState &fleet, const ServiceId &service, const StepSpec &step,
+               Duration waited)
+{
+    return waited >= longWait && hasRoomTwice(fleet, service, step);
+}
+
+bool leavesUrgentRoom(const FleetState &fleet, const StepSpec &step)
 {
     double spare = -fleet.urgentMilliCores;
-    for (const auto &[id, other] : fleet.hosts) {
-        if (isUsable(fleet, other)) {
+    for (const auto &[id, host] : fleet.hosts) {
+        if (isUsable(fleet, host)) {
             // The demand contains what short tasks hold already.
-            spare += static_cast<double>(other.capacity.milliCores - other.servingMilliCores);
+            spare += static_cast<double>(host.capacity.milliCores - host.servingMilliCores);
         }
     }
-    if (spare >= static_cast<double>(step.taskSize.milliCores)) {
-        return true;
-    }
-    return waited >= longWait && hasRoomTwice(fleet, host.service, step);
+    return spare >= static_cast<double>(step.taskSize.milliCores);
 }
 
 } // namespace acaciadeal
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -25,11 +25,14 @@
 /// Follows the processors that short committed tasks need, at their recent peak.
 void updateUrgentDemand(FleetState &fleet, TimePoint now);
 
-/// Returns whether a long-running task may take @p host now. The room that short tasks need from
-/// time to time is kept free, but for a task that has waited for seconds while the fleet has room
-/// for it twice over.
-bool mayTakeForLong(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
-                    Duration waited);
+/// Returns whether a long-running task that has waited for @p waited has to start before everything
+/// else: the fleet has room for it twice over, and each second away counts.
+bool isOverdue(const FleetState &fleet, const ServiceId &service, const StepSpec &step,
+               Duration waited);
+
+/// Returns whether a long-running task may start although others wait: it leaves the room that
+/// short tasks need from time to time.
+bool leavesUrgentRoom(const FleetState &fleet, const StepSpec &step);
 
 } // namespace acaciadeal
 
