Test the holder and the ownership against hosts and a store in memory

The two mended faults have their tests: without the check before start() 'a new holder adopts what runs, and decides' fails, and with leases for silent hosts 'the task of a silent host starts elsewhere once its lease has lapsed' fails.

--- a/packages/base/event.cpp
+++ b/packages/base/event.cpp
@@ -106,8 +106,10 @@
               "The speed of backfill tasks on a host was changed."},
     EventInfo{EventId::JobInquired, Severity::Info, "JobInquired",
               "A caller was told the state of a job, or that there is none."},
-    EventInfo{EventId::FleetStatus, Severity::Info, "FleetStatus", "What the holder sees in sum, every few seconds."},
-    EventInfo{EventId::JobOffered, Severity::Info, "JobOffered", "The holder decided whether a job may be stored."},
+    EventInfo{EventId::FleetStatus, Severity::Info, "FleetStatus",
+              "What the holder sees in sum, every few seconds."},
+    EventInfo{EventId::JobOffered, Severity::Info, "JobOffered",
+              "The holder decided whether a job may be stored."},
 };
 
 } // namespace
--- a/packages/daemon/context.h
+++ b/packages/daemon/context.h
@@ -4,9 +4,9 @@
 #include "http/httpclient.h"
 #include "http/httprouter.h"
 #include "metrics/metrics.h"
-#include "store/platform.h"
 #include "runtime/eventloop.h"
 #include "settings/daemonsettings.h"
+#include "store/platform.h"
 #include "wire/peerclient.h"
 
 namespace acaciadeal {
--- a/packages/daemon/internal/recordstore.cpp
+++ b/packages/daemon/internal/recordstore.cpp
@@ -2,8 +2,8 @@
 
 #include "daemon/internal/requestcodec.h"
 #include "logging/log.h"
-#include "store/definitecommit.h"
 #include "runtime/eventloop.h"
+#include "store/definitecommit.h"
 
 #include <map>
 #include <mutex>
--- a/packages/daemon/internal/recordstore.h
+++ b/packages/daemon/internal/recordstore.h
@@ -1,8 +1,8 @@
 #ifndef ACACIADEAL_DAEMON_INTERNAL_RECORDSTORE_H
 #define ACACIADEAL_DAEMON_INTERNAL_RECORDSTORE_H
 
-#include "store/platform.h"
 #include "requests/requestrecord.h"
+#include "store/platform.h"
 
 #include <cstddef>
 #include <functional>
--- a/packages/daemon/jobservice.cpp
+++ b/packages/daemon/jobservice.cpp
@@ -2,8 +2,8 @@
 
 #include "base/hash.h"
 #include "daemon/rowkeys.h"
-#include "store/definitecommit.h"
 #include "state/codec.h"
+#include "store/definitecommit.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
--- a/packages/daemon/shardstore.cpp
+++ b/packages/daemon/shardstore.cpp
@@ -1,7 +1,7 @@
 #include "daemon/shardstore.h"
 
-#include "store/definitecommit.h"
 #include "state/codec.h"
+#include "store/definitecommit.h"
 
 #include <algorithm>
 #include <memory>
--- a/packages/daemon/shardstore.h
+++ b/packages/daemon/shardstore.h
@@ -2,8 +2,8 @@
 #define ACACIADEAL_DAEMON_SHARDSTORE_H
 
 #include "daemon/rowkeys.h"
-#include "store/platform.h"
 #include "state/shardstate.h"
+#include "store/platform.h"
 
 #include <functional>
 
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -5,10 +5,13 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 
 namespace acaciadeal {
 namespace {
 
+using nlohmann::json;
+
 /// Tail-to-target ratio to which backfill tasks are slowed. The figure is rough and half a second
 /// old, and the load of the serving task itself swings.
 constexpr double wantedRatio = 0.9;
@@ -23,8 +26,9 @@
 /// Smaller changes are not worth a call for each task.
 constexpr int minPaceStep = 8;
 
-/// Assumed slope of a pair that was never seen: a task on a tenth of a host adds a tenth.
-constexpr Estimate unknownSlope{.value = 1.0, .variance = 1.0};
+/// Assumed slope of a pair that was never seen; with the caution below, a task on a tenth of a host
+/// adds a tenth.
+constexpr Estimate unknownSlope{.value = 1.5, .variance = 1.0};
 constexpr Estimate unknownBase{.value = 0.4, .variance = 0.05};
 /// Variance of an observed ratio: the load of a serving task swings by half within seconds.
 constexpr double observationVariance = 0.09;
@@ -139,6 +143,53 @@
     }
 }
 
+std::string encodeModel(const InterferenceModel &model)
+{
+    std::vector<std::string> names(std::min(model.names.size(), maxImages));
+    for (const auto &[name, id] : model.names) {
+        names[id] = name;
+    }
+    json base = json::array();
+    json slopes = json::array();
+    for (std::size_t serving = 0; serving < names.size(); ++serving) {
+        const Estimate &own = model.base[serving];
+        if (own.variance < unknownBase.variance) {
+            base.push_back({serving, own.value, own.variance});
+        }
+        for (std::size_t other = 0; other < names.size(); ++other) {
+            const Estimate &slope = model.slope[serving * maxImages + other];
+            if (slope.variance < unknownSlope.variance) {
+                slopes.push_back({serving, other, slope.value, slope.variance});
+            }
+        }
+    }
+    return json{{"images", names}, {"base", std::move(base)}, {"slope", std::move(slopes)}}.dump();
+}
+
+Result<void> decodeModel(const std::string &text, InterferenceModel &model)
+{
+    try {
+        const json j = json::parse(text);
+        std::vector<ImageId> ids;
+        for (const json &name : j.at("images")) {
+            ids.push_back(imageId(model, name.get<std::string>()));
+        }
+        for (const json &entry : j.at("base")) {
+            model.base[ids.at(entry.at(0).get<std::size_t>())] = {
+                .value = entry.at(1).get<double>(), .variance = entry.at(2).get<double>()};
+        }
+        for (const json &entry : j.at("slope")) {
+            const ImageId serving = ids.at(entry.at(0).get<std::size_t>());
+            const ImageId other = ids.at(entry.at(1).get<std::size_t>());
+            model.slope[serving * maxImages + other] = {.value = entry.at(2).get<double>(),
+                                                        .variance = entry.at(3).get<double>()};
+        }
+        return {};
+    } catch (const std::exception &e) {
+        return failure(ResultCode::CorruptSnapshot, e.what(), "interference model");
+    }
+}
+
 void learnFromHost(FleetState &fleet, FleetHost &host)
 {
     const ImageUse use = reportedUse(fleet, host);
--- a/packages/dispatch/interference.h
+++ b/packages/dispatch/interference.h
@@ -1,6 +1,7 @@
 #ifndef ACACIADEAL_DISPATCH_INTERFERENCE_H
 #define ACACIADEAL_DISPATCH_INTERFERENCE_H
 
+#include "base/error.h"
 #include "base/time.h"
 
 #include <cstdint>
@@ -58,6 +59,11 @@
 void observeTail(InterferenceModel &model, ImageId serving, double tailRatio, const ImageUse &use,
                  double capacity);
 
+/// Text form of what was learned, for the next holder. decodeModel() adds it to @p model and fails
+/// with CorruptSnapshot on anything else.
+std::string encodeModel(const InterferenceModel &model);
+Result<void> decodeModel(const std::string &text, InterferenceModel &model);
+
 /// Takes the tails of the host's serving tasks from their last reported loads.
 void learnFromHost(FleetState &fleet, FleetHost &host);
 
--- a/packages/dispatch/interference_test.cpp
+++ b/packages/dispatch/interference_test.cpp
@@ -104,6 +104,19 @@
     CHECK(slopeOf(replay.model, replay.serving, replay.light) < 0.3);
 }
 
+// Guards against a takeover after which everything has to be learned again at the cost of users.
+TEST_CASE("a model survives its text form under other short names")
+{
+    Replay replay;
+    replay.play(100);
+    InterferenceModel other;
+    imageId(other, "something else");
+    REQUIRE(decodeModel(encodeModel(replay.model), other));
+    CHECK(slopeOf(other, imageId(other, "serving"), imageId(other, "heavy"))
+          == doctest::Approx(slopeOf(replay.model, replay.serving, replay.heavy)));
+    CHECK_FALSE(decodeModel("{\"images\":[\"a\"],\"base\":[[7,0,0]],\"slope\":[]}", other));
+}
+
 // Guards against pairs that are never tried because nothing is known of them.
 TEST_CASE("an unknown pair is assumed to disturb little enough to be tried")
 {
--- /dev/null
+++ b/packages/fleet/fakehosts.cpp
@@ -0,0 +1,166 @@
+#include "fleet/fakehosts.h"
+
+#include "runtime/bootclock.h"
+#include "runtime/eventloop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciadeal {
+namespace {
+
+milliseconds hostClock()
+{
+    return std::chrono::duration_cast<milliseconds>(bootNow().time_since_epoch());
+}
+
+Error silence()
+{
+    return {ResultCode::TimedOut, "no answer", "host"};
+}
+
+/// Ends everything whose lease has lapsed.
+void lapse(FakeHost &host)
+{
+    if (host.leaseUntil > hostClock()) {
+        return;
+    }
+    for (const auto &[task, run] : host.active) {
+        host.ended.push_back({.number = ++host.ends,
+                              .task = task,
+                              .run = run,
+                              .end = RunEnd::LeaseLapsed,
+                              .checkpoint = {}});
+    }
+    host.active.clear();
+}
+
+} // namespace
+
+FakeHosts::FakeHosts(EventLoop &loop, int hosts)
+    : m_loop(loop)
+{
+    for (int n = 0; n < hosts; ++n) {
+        m_hosts["h" + std::to_string(n)] = {};
+    }
+}
+
+FakeHost &FakeHosts::host(const std::string &id)
+{
+    return m_hosts.at(id);
+}
+
+std::vector<HostRecord> FakeHosts::records() const
+{
+    std::vector<HostRecord> records;
+    for (const auto &[id, host] : m_hosts) {
+        HostRecord record;
+        record.host = {id};
+        record.failureDomain = {"a"};
+        record.endpoint = {id, 1};
+        record.capacity = {.milliCores = 4000, .memoryMiB = 16000};
+        record.service = {"svc"};
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+int FakeHosts::activeRuns(const TaskKey &task) const
+{
+    int n = 0;
+    for (const auto &[id, host] : m_hosts) {
+        n += host.active.contains(task) && host.leaseUntil > hostClock() ? 1 : 0;
+    }
+    return n;
+}
+
+void FakeHosts::end(const std::string &id, const TaskKey &task, RunEnd how)
+{
+    FakeHost &host = m_hosts.at(id);
+    const auto it = host.active.find(task);
+    if (it == host.active.end()) {
+        return;
+    }
+    host.ended.push_back(
+        {.number = ++host.ends, .task = task, .run = it->second, .end = how, .checkpoint = {}});
+    host.active.erase(it);
+}
+
+void FakeHosts::renew(const HostCall &call, const RenewalCall &renewal, ReportCallback callback)
+{
+    FakeHost &host = m_hosts.at(call.host.value);
+    if (host.silent) {
+        m_loop.postAfter(call.timeout, [callback = std::move(callback)] {
+            callback(tl::unexpected<Error>(silence()));
+        });
+        return;
+    }
+    lapse(host);
+    if (call.token < host.token) {
+        m_loop.post([callback = std::move(callback)] {
+            callback(failure(ResultCode::StaleEpoch, "a higher token was seen"));
+        });
+        return;
+    }
+    host.token = call.token;
+    if (renewal.leaseUntil) {
+        host.leaseUntil = std::max(host.leaseUntil, *renewal.leaseUntil);
+    }
+    std::erase_if(host.ended, [&renewal](const RunEnding &ended) {
+        return ended.number <= renewal.acknowledged;
+    });
+    HostReport report{.hostClock = hostClock(), .bornAt = host.bornAt, .ended = host.ended};
+    for (const auto &[task, run] : host.active) {
+        report.active.push_back({.task = task, .run = run, .percent = 10});
+    }
+    // The wait for an end is cut short, so that tests see ends soon.
+    m_loop.postAfter(
+        std::min<Duration>(renewal.wait, milliseconds(5)),
+        [report = std::move(report), callback = std::move(callback)] { callback(report); });
+}
+
+void FakeHosts::start(const HostCall &call, const StartRun &order, milliseconds leaseUntil,
+                      StartCallback callback)
+{
+    FakeHost &host = m_hosts.at(call.host.value);
+    StartOutcome outcome = StartOutcome::Started;
+    if (host.silent) {
+        outcome = StartOutcome::Unknown;
+    } else if (call.token < host.token) {
+        outcome = StartOutcome::Fenced;
+    } else {
+        host.token = call.token;
+        host.leaseUntil = std::max(host.leaseUntil, leaseUntil);
+        host.active[order.task] = order.run;
+        host.starts.emplace_back(order.task, order.run);
+        outcome = host.losesStartAnswers ? StartOutcome::Unknown : StartOutcome::Started;
+    }
+    m_loop.postAfter(milliseconds(1),
+                     [outcome, callback = std::move(callback)] { callback(outcome, {}); });
+}
+
+void FakeHosts::stop(const HostCall &call, const StopRun &order, OrderCallback callback)
+{
+    if (!m_hosts.at(call.host.value).silent) {
+        end(call.host.value, order.task, RunEnd::Stopped);
+    }
+    m_loop.post([callback = std::move(callback)] { callback({}); });
+}
+
+HostPort FakeHosts::port()
+{
+    return {
+        .start =
+            [this](const HostCall &call, const StartRun &order, milliseconds leaseUntil,
+                   StartCallback callback) { start(call, order, leaseUntil, std::move(callback)); },
+        .stop = [this](const HostCall &call, const StopRun &order,
+                       OrderCallback callback) { stop(call, order, std::move(callback)); },
+        .pace = [](const HostCall &, const PaceRun &,
+                   const OrderCallback &callback) { callback({}); },
+        .renew =
+            [this](const HostCall &call, const RenewalCall &renewal, ReportCallback callback) {
+                renew(call, renewal, std::move(callback));
+            }};
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/fleet/fleet_test.cpp
@@ -0,0 +1,412 @@
+#include "fleet/fakehosts.h"
+#include "fleet/holder.h"
+#include "fleet/jobrows.h"
+#include "fleet/ownership.h"
+#include "kernel/pluginregistry.h"
+#include "runtime/bootclock.h"
+#include "runtime/eventloop.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <future>
+#include <optional>
+#include <thread>
+
+using namespace acaciadeal;
+
+namespace {
+
+constexpr milliseconds lease{400};
+constexpr Duration patience = std::chrono::seconds(10);
+
+/// Runs @p function on the loop's thread and returns its result.
+template<typename Function>
+auto onLoop(EventLoop &loop, Function function)
+{
+    auto promise = std::make_shared<std::promise<decltype(function())>>();
+    loop.post([promise, function] { promise->set_value(function()); });
+    return promise->get_future().get();
+}
+
+/// Polls @p condition on the loop's thread.
+template<typename Condition>
+bool eventually(EventLoop &loop, Condition condition)
+{
+    const TimePoint deadline = bootNow() + patience;
+    while (bootNow() < deadline) {
+        if (onLoop(loop, condition)) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+}
+
+JobSpec oneTask(const std::string &id)
+{
+    return {.id = {id},
+            .terms = {.queue = "q", .service = {"svc"}, .maxAttempts = 3},
+            .steps = {{.taskSize = {.milliCores = 1000, .memoryMiB = 100},
+                       .estimatedRunTime = milliseconds(1000)}}};
+}
+
+TaskKey taskOf(const std::string &id)
+{
+    return {.job = {id}};
+}
+
+struct Cluster
+{
+    EventLoop loop{{.threads = 1}};
+    FakeHosts hosts;
+    PlatformAdapter platform;
+    Metrics metrics{{}};
+    std::map<int, std::shared_ptr<FleetHolder>> holders;
+    std::map<int, bool> mayAct;
+
+    explicit Cluster(int n)
+        : hosts(loop, n)
+    {
+        platform = PluginRegistry<PlatformPlugin>::instance().find("memory")->create(
+            loop, {.hosts = hosts.records()});
+    }
+
+    ~Cluster()
+    {
+        onLoop(loop, [this] {
+            for (auto &[epoch, holder] : holders) {
+                holder->stop();
+            }
+            return true;
+        });
+        loop.stop();
+    }
+
+    /// Starts a holder; the one before it has provably stopped.
+    FleetHolder &hold(int epoch, std::set<FailureDomainId> evacuated = {})
+    {
+        mayAct[epoch] = true;
+        return *onLoop(loop, [this, epoch, evacuated] {
+            auto holder = std::make_shared<FleetHolder>(
+                FleetHolderEnvironment{.loop = loop,
+                                       .platform = platform,
+                                       .hosts = hosts.port(),
+                                       .metrics = metrics,
+                                       .mayAct = [this, epoch] { return mayAct[epoch]; },
+                                       .onFenced =
+                                           [this, epoch](const std::string &) {
+                                               mayAct[epoch] = false;
+                                           }},
+                FleetHolderOptions{.epoch = static_cast<std::uint64_t>(epoch),
+                                   .previousStoppedAt = bootNow(),
+                                   .lease = lease,
+                                   .renewalWait = milliseconds(50),
+                                   .hostTimeout = milliseconds(40),
+                                   .hostRetry = milliseconds(20),
+                                   .flushDelay = milliseconds(10),
+                                   .listHostsEvery = milliseconds(50),
+                                   .readJobsEvery = milliseconds(50),
+                                   .tickEvery = milliseconds(10)});
+            holders[epoch] = holder;
+            if (!evacuated.empty()) {
+                holder->setEvacuated(evacuated);
+            }
+            holder->start();
+            return holder;
+        });
+    }
+
+    /// Stores a job as the front does; holders find the row.
+    void submit(const JobSpec &job)
+    {
+        std::promise<bool> stored;
+        platform.commit(
+            {.checks = {{jobRowKey(job.id), 0}}, .puts = {{jobRowKey(job.id), encodeJob(job)}}},
+            [&stored](const Result<CommitVersions> &result) {
+                stored.set_value(result.has_value());
+            });
+        REQUIRE(stored.get_future().get());
+    }
+
+    bool runs(const std::string &id)
+    {
+        return eventually(loop, [this, &id] { return hosts.activeRuns(taskOf(id)) == 1; });
+    }
+
+    /// Returns the host on which the task is active.
+    std::string hostOf(const std::string &id)
+    {
+        return onLoop(loop, [this, &id] {
+            for (const HostRecord &record : hosts.records()) {
+                if (hosts.host(record.host.value).active.contains(taskOf(id))) {
+                    return record.host.value;
+                }
+            }
+            return std::string();
+        });
+    }
+
+    JobState stateOf(FleetHolder &holder, const std::string &id)
+    {
+        std::promise<JobState> state;
+        loop.post([&] {
+            holder.state({id}, [&state](const Result<JobState> &result) {
+                state.set_value(result.value_or(JobState::Queued));
+            });
+        });
+        return state.get_future().get();
+    }
+
+    std::size_t startsOf(const std::string &id)
+    {
+        return onLoop(loop, [this, &id] {
+            std::size_t n = 0;
+            for (const HostRecord &record : hosts.records()) {
+                for (const auto &[task, run] : hosts.host(record.host.value).starts) {
+                    n += task == taskOf(id) ? 1 : 0;
+                }
+            }
+            return n;
+        });
+    }
+};
+
+} // namespace
+
+// Guards against a completion that is shown before it is durable.
+TEST_CASE("a job runs, and its completion is durable when it is shown")
+{
+    Cluster cluster(2);
+    FleetHolder &holder = cluster.hold(1);
+    cluster.submit(oneTask("j"));
+    REQUIRE(cluster.runs("j"));
+    const std::string host = cluster.hostOf("j");
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.end(host, taskOf("j"), RunEnd::Done);
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        return stateOf(*findJob(holder.dispatcher().fleet, {"j"})) == JobState::Completed;
+    }));
+    CHECK(cluster.stateOf(holder, "j") == JobState::Completed);
+    std::promise<std::vector<Row>> rows;
+    cluster.platform.read({.keys = {progressRowKey({"j"})}},
+                          [&rows](const Result<std::vector<Row>> &result) {
+                              rows.set_value(result.value_or(std::vector<Row>{}));
+                          });
+    const auto stored = rows.get_future().get();
+    REQUIRE(stored.size() == 1);
+    const auto progress = decodeProgress(oneTask("j"), stored[0].value);
+    REQUIRE(progress);
+    CHECK(progress->outcome == JobState::Completed);
+    CHECK(cluster.startsOf("j") == 1);
+}
+
+// Guards against tasks of a silent host that wait for ever, and against a second run while the
+// first one's lease lasts.
+TEST_CASE("the task of a silent host starts elsewhere once its lease has lapsed")
+{
+    Cluster cluster(2);
+    cluster.hold(1);
+    cluster.submit(oneTask("j"));
+    REQUIRE(cluster.runs("j"));
+    const std::string silent = cluster.hostOf("j");
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.host(silent).silent = true;
+        return true;
+    });
+    int most = 0;
+    REQUIRE(eventually(cluster.loop, [&] {
+        most = std::max(most, cluster.hosts.activeRuns(taskOf("j")));
+        return std::any_of(cluster.hosts.host(silent == "h0" ? "h1" : "h0").starts.begin(),
+                           cluster.hosts.host(silent == "h0" ? "h1" : "h0").starts.end(),
+                           [](const auto &entry) { return entry.first == taskOf("j"); });
+    }));
+    CHECK(most == 1);
+}
+
+// Guards against a second run after a start whose answer was lost.
+TEST_CASE("a start that was carried out without an answer is adopted")
+{
+    Cluster cluster(1);
+    cluster.hold(1);
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.host("h0").losesStartAnswers = true;
+        return true;
+    });
+    cluster.submit(oneTask("j"));
+    REQUIRE(cluster.runs("j"));
+    std::this_thread::sleep_for(lease);
+    CHECK(cluster.startsOf("j") == 1);
+    CHECK(cluster.runs("j"));
+}
+
+// Guards against tasks that run twice or start anew when another daemon takes over, and against
+// a holder that learned of evacuations before its start and then never decides.
+TEST_CASE("a new holder adopts what runs, and decides")
+{
+    Cluster cluster(2);
+    cluster.hold(1);
+    cluster.submit(oneTask("old"));
+    REQUIRE(cluster.runs("old"));
+    onLoop(cluster.loop, [&] {
+        cluster.mayAct[1] = false;
+        return true;
+    });
+    FleetHolder &next = cluster.hold(2, {{"elsewhere"}});
+    cluster.submit(oneTask("new"));
+    REQUIRE(cluster.runs("new"));
+    CHECK(cluster.startsOf("old") == 1);
+    REQUIRE(eventually(cluster.loop, [&] {
+        const auto *const task = findTask(next.dispatcher().fleet, taskOf("old"));
+        return task != nullptr && task->phase == TaskPhase::Running;
+    }));
+    CHECK(cluster.startsOf("old") == 1);
+}
+
+// Guards against a second run: the earlier holder's host does not answer the new one, but its task
+// runs on until its lease lapses.
+TEST_CASE("a task that may run on a silent host of the earlier holder waits for its lease")
+{
+    Cluster cluster(2);
+    cluster.hold(1);
+    cluster.submit(oneTask("j"));
+    REQUIRE(cluster.runs("j"));
+    const std::string silent = cluster.hostOf("j");
+    onLoop(cluster.loop, [&] {
+        cluster.mayAct[1] = false;
+        cluster.hosts.host(silent).silent = true;
+        return true;
+    });
+    cluster.hold(2);
+    int most = 0;
+    REQUIRE(eventually(cluster.loop, [&] {
+        most = std::max(most, cluster.hosts.activeRuns(taskOf("j")));
+        return cluster.hosts.host(silent == "h0" ? "h1" : "h0").starts.size() == 1;
+    }));
+    CHECK(most == 1);
+}
+
+// Guards against a cancelled job that runs on, and against a cancellation that is lost because it
+// was written by a daemon that could not reach the holder.
+TEST_CASE("a cancellation that is stored stops the job")
+{
+    Cluster cluster(1);
+    cluster.hold(1);
+    cluster.submit(oneTask("j"));
+    REQUIRE(cluster.runs("j"));
+    std::promise<bool> stored;
+    cluster.platform.commit(
+        {.puts = {{cancelRowKey({"j"}), "j"}}},
+        [&stored](const Result<CommitVersions> &result) { stored.set_value(result.has_value()); });
+    REQUIRE(stored.get_future().get());
+    CHECK(eventually(cluster.loop, [&] { return cluster.hosts.activeRuns(taskOf("j")) == 0; }));
+}
+
+namespace {
+
+/// Two daemons that compete for the shard.
+struct Rivals
+{
+    EventLoop loop{{.threads = 1}};
+    PlatformAdapter platform;
+    /// Writes of daemon 0 fail while set, as if the store turned it away.
+    bool firstIsCutOff = false;
+    PlatformAdapter cutOff;
+    std::vector<std::unique_ptr<ShardOwnership>> daemons;
+    std::vector<std::uint64_t> epochs{0, 0};
+
+    Rivals()
+    {
+        platform = PluginRegistry<PlatformPlugin>::instance().find("memory")->create(loop, {});
+        cutOff = platform;
+        cutOff.commit = [this](Transaction transaction, CommitCallback callback) {
+            if (firstIsCutOff) {
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::PlatformUnavailable, "cut off"));
+                });
+                return;
+            }
+            platform.commit(std::move(transaction), std::move(callback));
+        };
+        cutOff.readTable = [this](const std::string &table, SnapshotCallback callback) {
+            if (firstIsCutOff) {
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::PlatformUnavailable, "cut off"));
+                });
+                return;
+            }
+            platform.readTable(table, std::move(callback));
+        };
+        for (std::size_t n = 0; n < 2; ++n) {
+            daemons.push_back(std::make_unique<ShardOwnership>(
+                loop, n == 0 ? cutOff : platform,
+                OwnershipOptions{.daemon = {"d" + std::to_string(n)},
+                                 .incarnation = n + 1,
+                                 .peer = {"127.0.0.1", 1},
+                                 .renewEvery = milliseconds(40),
+                                 .validFor = milliseconds(200),
+                                 .claimAfter = milliseconds(300),
+                                 .pollEvery = milliseconds(20),
+                                 .retryDelay = milliseconds(20)},
+                OwnershipCallbacks{
+                    .onHeld = [this, n](std::uint64_t epoch, TimePoint) { epochs[n] = epoch; },
+                    .onLost =
+                        [](const std::string &) {
+                        }}));
+        }
+    }
+
+    ~Rivals()
+    {
+        loop.stop();
+    }
+};
+
+} // namespace
+
+// Guards against two daemons that act for one shard at the same time.
+TEST_CASE("a holder that cannot reach the store stops acting before another one claims")
+{
+    Rivals rivals;
+    onLoop(rivals.loop, [&] {
+        rivals.daemons[0]->start();
+        return true;
+    });
+    REQUIRE(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    onLoop(rivals.loop, [&] {
+        rivals.daemons[1]->start();
+        return true;
+    });
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[1]; }) == 0);
+    onLoop(rivals.loop, [&] {
+        rivals.firstIsCutOff = true;
+        return true;
+    });
+    bool both = false;
+    REQUIRE(eventually(rivals.loop, [&] {
+        both = both || (rivals.daemons[0]->mayAct() && rivals.daemons[1]->mayAct());
+        return rivals.daemons[1]->mayAct();
+    }));
+    CHECK_FALSE(both);
+    CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[1]; }) == 2);
+}
+
+// Guards against a wait for the silence of a holder that said it was leaving.
+TEST_CASE("a released shard is claimed at once")
+{
+    Rivals rivals;
+    onLoop(rivals.loop, [&] {
+        rivals.daemons[0]->start();
+        return true;
+    });
+    REQUIRE(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    onLoop(rivals.loop, [&] {
+        rivals.daemons[1]->start();
+        rivals.daemons[0]->release([] {});
+        return true;
+    });
+    CHECK(eventually(rivals.loop, [&] { return rivals.daemons[1]->mayAct(); }));
+    CHECK_FALSE(onLoop(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -25,6 +25,8 @@
 /// Wait of renewals for hosts on which nothing runs; the hosts' limit is 2 s.
 constexpr milliseconds idleRenewalWait{1900};
 constexpr std::size_t cleanupBatch = 20;
+constexpr const char *modelTable = "model";
+constexpr const char *modelKey = "model/main";
 
 Duration lapseTime(milliseconds lease)
 {
@@ -80,6 +82,8 @@
 
     void tick();
     void logStatus();
+    void readModel();
+    void storeModel();
     void readNewJobs();
     void onJobChanges(const Result<RowChanges> &changes);
     void takeJobRow(const std::string &key, const std::string &value);
@@ -619,6 +623,36 @@
     env.loop.postAfter(options.statusEvery, guarded([this] { logStatus(); }));
 }
 
+/// Without the model of the previous holder this one only learns again; nothing waits for it.
+void FleetHolder::Impl::readModel()
+{
+    env.platform.readTable(
+        modelTable, guarded([this](const Result<RowSnapshot> &snapshot) {
+            Result<void> decoded;
+            if (!snapshot) {
+                decoded = tl::unexpected<Error>(snapshot.error());
+            } else if (!snapshot->rows.empty()) {
+                decoded = decodeModel(snapshot->rows.front().value, dispatcher.fleet.interference);
+            }
+            if (!decoded) {
+                logEvent(EventId::RowIgnored,
+                         {{"row", modelKey}, {"reason", decoded.error().message}});
+            }
+        }));
+}
+
+void FleetHolder::Impl::storeModel()
+{
+    if (env.mayAct() && !finishing && !dispatcher.fleet.interference.names.empty()) {
+        // A late write of an earlier holder may replace the row; it is as good as a newer one.
+        env.platform.commit({.puts = {{modelKey, encodeModel(dispatcher.fleet.interference)}}},
+                            [](const Result<CommitVersions> &) {
+                                // The next one follows in seconds.
+                            });
+    }
+    env.loop.postAfter(options.storeModelEvery, guarded([this] { storeModel(); }));
+}
+
 void FleetHolder::Impl::readNewJobs()
 {
     env.platform.changes(
@@ -721,6 +755,9 @@
     m_impl->listHosts();
     m_impl->tick();
     m_impl->logStatus();
+    m_impl->readModel();
+    m_impl->env.loop.postAfter(m_impl->options.storeModelEvery,
+                               m_impl->guarded([impl = m_impl.get()] { impl->storeModel(); }));
 }
 
 void FleetHolder::stop()
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -44,6 +44,8 @@
     /// Housekeeping of leases, delays and repeated orders.
     Duration tickEvery = milliseconds(100);
     Duration statusEvery = std::chrono::seconds(2);
+    /// Period in which what was learned of the images is stored for the next holder.
+    Duration storeModelEvery = std::chrono::seconds(4);
     /// Time for which the first arrival of a rejected job is remembered.
     Duration rememberRejected = std::chrono::seconds(60);
     /// Time for which an admitted job may be on its way to the store.
--- a/packages/jobs/jobprogress.h
+++ b/packages/jobs/jobprogress.h
@@ -21,8 +21,8 @@
 {
     /// One entry for each task.
     std::vector<bool> done;
-    /// Numbers of the failed runs by task; tasks without one are absent. Numbers and not a count, so
-    /// that an end which is listed again after a takeover is not counted twice.
+    /// Numbers of the failed runs by task; tasks without one are absent. Numbers and not a count,
+    /// so that an end which is listed again after a takeover is not counted twice.
     std::map<std::uint32_t, std::set<std::uint64_t>> failedRuns;
 
     friend bool operator==(const StepProgress &, const StepProgress &) = default;
--- a/packages/store/definitecommit_test.cpp
+++ b/packages/store/definitecommit_test.cpp
@@ -1,6 +1,6 @@
 #include "kernel/pluginregistry.h"
-#include "store/definitecommit.h"
 #include "runtime/eventloop.h"
+#include "store/definitecommit.h"
 
 #include <doctest/doctest.h>
 #include <future>
--- a/packages/store/httpplatform_test.cpp
+++ b/packages/store/httpplatform_test.cpp
@@ -1,7 +1,7 @@
 #include "http/httpserver.h"
 #include "kernel/pluginregistry.h"
-#include "store/codec.h"
 #include "runtime/eventloop.h"
+#include "store/codec.h"
 
 #include <doctest/doctest.h>
 #include <future>
--- a/packages/store/memoryplatform.cpp
+++ b/packages/store/memoryplatform.cpp
@@ -1,7 +1,7 @@
 #include "kernel/pluginregistry.h"
+#include "runtime/eventloop.h"
 #include "store/memorytable.h"
 #include "store/platform.h"
-#include "runtime/eventloop.h"
 
 #include <memory>
 #include <mutex>
@@ -55,6 +55,22 @@
     adapter.listHosts = [platform, &loop](HostsCallback callback) {
         loop.post([platform, callback = std::move(callback)] { callback(platform->hosts); });
     };
+    adapter.readTable = [platform, &loop](const std::string &table, SnapshotCallback callback) {
+        const std::lock_guard lock(platform->mutex);
+        loop.post([snapshot = readTable(platform->table, table), callback = std::move(callback)] {
+            callback(snapshot);
+        });
+    };
+    adapter.changes = [platform, &loop](const std::string &table, std::uint64_t after,
+                                        Duration wait, ChangesCallback callback) {
+        // Answers after the wait, with what was written by then.
+        loop.postAfter(wait, [platform, table, after, callback = std::move(callback)] {
+            std::unique_lock lock(platform->mutex);
+            RowChanges changes = changesAfter(platform->table, table, after);
+            lock.unlock();
+            callback(std::move(changes));
+        });
+    };
     return adapter;
 }
 
--- a/packages/store/memorytable.cpp
+++ b/packages/store/memorytable.cpp
@@ -49,4 +49,21 @@
     return result;
 }
 
+RowSnapshot readTable(const MemoryTable &table, const std::string &name)
+{
+    return {.rows = read(table, {.prefix = name + "/", .limit = table.rows.size() + 1}),
+            .version = table.lastVersion};
+}
+
+RowChanges changesAfter(const MemoryTable &table, const std::string &name, std::uint64_t after)
+{
+    RowChanges changes{.version = table.lastVersion};
+    for (const Row &row : readTable(table, name).rows) {
+        if (row.version > after) {
+            changes.rows.push_back({.key = row.key, .value = row.value});
+        }
+    }
+    return changes;
+}
+
 } // namespace acaciadeal
--- a/packages/store/memorytable.h
+++ b/packages/store/memorytable.h
@@ -24,6 +24,12 @@
 /// Returns the selected rows in ascending order of key.
 std::vector<Row> read(const MemoryTable &table, const RowQuery &query);
 
+/// Returns the rows of a table with the newest version of any row.
+RowSnapshot readTable(const MemoryTable &table, const std::string &name);
+
+/// Returns the rows of a table that were written after a version; deletions are not told.
+RowChanges changesAfter(const MemoryTable &table, const std::string &name, std::uint64_t after);
+
 } // namespace acaciadeal
 
 #endif
--- a/tests/golden/session.cpp
+++ b/tests/golden/session.cpp
@@ -3,8 +3,8 @@
 #include "base/hash.h"
 #include "daemon/rowkeys.h"
 #include "kernel/pluginregistry.h"
-#include "store/codec.h"
 #include "state/codec.h"
+#include "store/codec.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/tests/golden/session.h
+++ b/tests/golden/session.h
@@ -2,8 +2,8 @@
 #define ACACIADEAL_GOLDEN_SESSION_H
 
 #include "embedded/worker.h"
-#include "store/memorytable.h"
 #include "scheduling/holder.h"
+#include "store/memorytable.h"
 
 #include <map>
 #include <string>
--- a/tests/standins/platformmain.cpp
+++ b/tests/standins/platformmain.cpp
@@ -1,12 +1,12 @@
 #include "base/hash.h"
 #include "http/httprouter.h"
-#include "store/codec.h"
-#include "store/memorytable.h"
 #include "runtime/eventloop.h"
 #include "standins/budget.h"
 #include "standins/controlroutes.h"
 #include "standins/deployment.h"
 #include "standins/faultyserver.h"
+#include "store/codec.h"
+#include "store/memorytable.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/standins/workersmain.cpp
+++ b/tests/standins/workersmain.cpp
@@ -1,12 +1,12 @@
 #include "embedded/worker.h"
 #include "http/httprouter.h"
-#include "store/codec.h"
 #include "runtime/eventloop.h"
 #include "standins/controlroutes.h"
 #include "standins/deployment.h"
 #include "standins/faultyserver.h"
 #include "standins/instance.h"
 #include "standins/workerjson.h"
+#include "store/codec.h"
 
 #include <deque>
 #include <functional>
