--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -71,9 +71,11 @@
             TimePoint now)
 {
     HostReport result{.ended = std::move(ended)};
-    for (const auto &[task, run] : dispatcher.fleet.hosts[{host}].runs) {
+    for (const auto &entry : dispatcher.fleet.hosts[{host}].runs) {
+        const TaskKey &task = entry.first;
+        const std::uint64_t run = entry.second;
         const bool gone = std::any_of(result.ended.begin(), result.ended.end(),
-                                      [&](const RunEnding &end) { return end.task == task; });
+                                      [&task](const RunEnding &end) { return end.task == task; });
         if (!gone) {
             result.active.push_back({.task = task, .run = run, .percent = 50});
         }
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -83,7 +83,7 @@
     }
 
     /// Starts a holder; the one before it has provably stopped.
-    FleetHolder &hold(int epoch, std::set<FailureDomainId> evacuated = {})
+    FleetHolder &hold(int epoch, const std::set<FailureDomainId> &evacuated = {})
     {
         mayAct[epoch] = true;
         return *onLoop(loop, [this, epoch, evacuated] {
