Grant leases of 6 s

Cause: in a cut of a failure domain of 5 to 7 s, the tasks there lost their leases of 4.2 s and were started again, in a full fleet often not at all.

--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -29,6 +29,11 @@
 constexpr Duration releaseTimeout = milliseconds(1500);
 /// Callbacks of a holder that lost the shard end within this time: the longest timeout of a call.
 constexpr Duration retireTime = std::chrono::seconds(10);
+/// A longer lease is not worth its price: the tasks of a host that vanished wait for it. Cuts of a
+/// failure domain last 5 to 7 s, and work there survives them with this one.
+constexpr milliseconds longestLease{6000};
+/// Difference to the hosts' limit, so that readings of their clocks may be late.
+constexpr milliseconds leaseMargin{100};
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 
@@ -148,7 +153,10 @@
                                    [this](const std::string &reason) {
                                        ownership->depose(reason);
                                    }},
-        FleetHolderOptions{.epoch = epoch, .previousStoppedAt = since});
+        FleetHolderOptions{.epoch = epoch,
+                           .previousStoppedAt = since,
+                           .lease =
+                               std::min(longestLease, settings.fleet->maxLease - leaseMargin)});
     if (operators->view() != nullptr) {
         holder->setEvacuated(operators->view()->evacuated);
     }
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -23,9 +23,9 @@
     std::uint64_t epoch = 0;
     /// When the previous holder had provably stopped; its leases lapse counted from here.
     TimePoint previousStoppedAt;
-    /// Lease that each renewal grants. Long enough for a takeover (claimAfter) with 1 s left, and
-    /// short, because the tasks of a host that vanished wait for it.
-    milliseconds lease{4200};
+    /// Lease that each renewal grants; longer than a takeover takes. The same for all holders, as a
+    /// new one waits for the leases of the one before.
+    milliseconds lease{5900};
     /// Longest time for which a renewal waits for an end.
     milliseconds renewalWait{900};
     /// Time for a host to answer beyond the wait; about 100 times an ordinary answer.
--- a/packages/settings/daemonsettings.cpp
+++ b/packages/settings/daemonsettings.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::int64_t maxPlatformTimeoutMs = 60'000;
 constexpr std::int64_t maxTrafficThreads = 64;
+/// A lease has to outlast a takeover.
+constexpr std::int64_t minLeaseMs = 4000;
+constexpr std::int64_t maxLeaseMs = 60'000;
 
 /// Reads the members of one object and keeps the first error.
 class ObjectReader
@@ -196,6 +199,8 @@
     FleetSettings read;
     read.adapter = inner.requiredText("adapter");
     read.readyListen = inner.endpoint("ready_listen", inner.requiredText("ready_listen"));
+    read.maxLease =
+        milliseconds(inner.integer("max_lease_ms", read.maxLease.count(), minLeaseMs, maxLeaseMs));
     if (inner.find("metrics_listen") != nullptr) {
         read.metricsListen = inner.endpoint("metrics_listen", inner.requiredText("metrics_listen"));
     }
--- a/packages/settings/daemonsettings.h
+++ b/packages/settings/daemonsettings.h
@@ -20,6 +20,8 @@
     std::string adapter;
     /// Address that answers the balancer's probes.
     Endpoint readyListen;
+    /// Longest lease that hosts grant; they shorten longer ones.
+    milliseconds maxLease{6000};
     /// Address of the metrics; port 0 if they are not served.
     Endpoint metricsListen;
 };
