--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -69,8 +69,8 @@
 template<typename AnyDaemon>
 int run(const DaemonSettings &settings, const std::string &file)
 {
-    // Blocked before threads exist, so that all of them inherit the mask and sigwait() gets the
-    // signals.
+    // Blocked before threads exist, so that all of them inherit the mask and sigtimedwait()
+    // gets the signals.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
@@ -82,18 +82,25 @@
     openLog({.daemon = settings.daemon.value});
     AnyDaemon daemon(settings);
     if (const auto started = daemon.start(); !started) {
+        flushLog();
         return report(started.error());
     }
     logEvent(EventId::DaemonStarted, {{"http", toString(settings.httpListen)},
                                       {"peer", toString(settings.peerListen)},
                                       {"failure_domain", settings.failureDomain.value}});
-    int signal = 0;
-    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
-        reportReload(file);
+    const timespec flushPeriod{.tv_sec = 0, .tv_nsec = 100'000'000};
+    int signal = -1;
+    while (signal < 0 || signal == SIGHUP) {
+        if (signal == SIGHUP) {
+            reportReload(file);
+        }
+        flushLog();
+        signal = sigtimedwait(&signals, nullptr, &flushPeriod);
     }
     logEvent(EventId::DaemonStopping, {{"signal", std::to_string(signal)}});
     daemon.shutDown();
     logEvent(EventId::DaemonStopped);
+    flushLog();
     // Pending handlers of one event loop may own sockets of the other, so that no order of
     // destruction is safe. Nothing is left to do, and the log is flushed line by line.
     std::quick_exit(exitOk);
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -150,6 +150,8 @@
     std::map<HostId, FleetHost> hosts;
     std::set<FailureDomainId> evacuated;
     InterferenceModel interference;
+    /// Whether less than half of the usable processors are in use; see rateOpenness().
+    bool isHalfEmpty = false;
     /// Processors that short committed tasks need, at their recent peak; see updateUrgentDemand().
     double urgentMilliCores = 0;
     TimePoint urgentDemandAt;
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -39,8 +39,8 @@
 /// Higher ratios say no more than that the host is far beyond its knee.
 constexpr double maxObservedRatio = 3.0;
 /// Time over the target after which the model is no longer trusted. Users feel a tail that is over
-/// its target for 4 s; an order and the averaging window of the tail take 1 s of that.
-constexpr Duration trustedFor = milliseconds(1500);
+/// its target for 4 s; reports, orders and the averaging window of the tail take 2 s of that.
+constexpr Duration trustedFor = milliseconds(800);
 /// Ratio below which a pause ends.
 constexpr double pauseEndsBelow = 0.85;
 /// Smallest contribution to a ratio for which a backfill task is slowed.
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -65,7 +65,8 @@
 }
 
 std::optional<double> backfillScore(const FleetState &fleet, const FleetHost &host,
-                                    const StepSpec &step, ImageId image, double capacity)
+                                    const StepSpec &step, ImageId image, double capacity,
+                                    bool mayDisturb)
 {
     const double idle = idleMilliCores(host);
     const auto need = static_cast<double>(step.taskSize.milliCores);
@@ -73,7 +74,7 @@
         return std::nullopt;
     }
     const double disturbance = disturbanceWith(fleet, host, image, std::min(idle, need));
-    if (disturbance > maxDisturbance) {
+    if (disturbance > maxDisturbance && !mayDisturb) {
         return std::nullopt;
     }
     return 2.0 - opennessWeight * host.openness + std::min(1.0, idle / need)
@@ -82,7 +83,7 @@
 
 /// Returns how well @p host suits; nothing if it has no room.
 std::optional<double> scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
-                              ImageId image)
+                              ImageId image, bool mayDisturb)
 {
     Resources need = step.taskSize;
     if (step.backfill) {
@@ -93,7 +94,7 @@
     }
     const auto capacity = static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
     if (step.backfill) {
-        return backfillScore(fleet, host, step, image, capacity);
+        return backfillScore(fleet, host, step, image, capacity, mayDisturb);
     }
     const auto freeAfter =
         static_cast<double>(host.capacity.milliCores - host.committed.milliCores - need.milliCores);
@@ -151,6 +152,9 @@
             }
         }
     }
+    const FleetSummary sum = summarize(fleet);
+    fleet.isHalfEmpty =
+        2 * (sum.committed.milliCores + sum.backfillMilliCores) < sum.capacity.milliCores;
     for (auto &[id, host] : fleet.hosts) {
         host.openness = host.servingMilliCores == 0 ? 1 : 0;
         if (host.servingMilliCores == 0 || total <= 0) {
@@ -168,13 +172,14 @@
                       const TaskRuntime &task, TimePoint now)
 {
     const StepSpec &spec = job.spec.steps[step];
+    const bool mayDisturb = fleet.isHalfEmpty && now - task.since >= disturbAfter;
     FleetHost *best = nullptr;
     double bestScore = 0;
     for (auto &[id, host] : fleet.hosts) {
         if (!isEligible(fleet, host, job.spec.terms.service, spec, now)) {
             continue;
         }
-        const auto base = scoreOf(fleet, host, spec, job.steps[step].image);
+        const auto base = scoreOf(fleet, host, spec, job.steps[step].image, mayDisturb);
         if (!base) {
             continue;
         }
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -26,6 +26,11 @@
 /// Returns the processors that backfill tasks can use on @p host beside those they use already.
 double idleMilliCores(const FleetHost &host);
 
+/// Wait after which a batch task is placed beside serving tasks that it disturbs, if most of the
+/// fleet is idle: it then runs at the speed that their tails allow. Users expect that nothing waits
+/// for 3 s in an idle fleet.
+inline constexpr Duration disturbAfter = milliseconds(2000);
+
 /// Notes for each host how much of the backfill work that waits could run there without disturbing
 /// what serves. Called once before a round of chooseHost().
 void rateOpenness(FleetState &fleet);
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -404,7 +404,9 @@
         link.nextAt = now + options.hostRetry;
         return;
     }
-    renew(link, host->runs.empty() ? idleRenewalWait : options.renewalWait, now);
+    const bool shared = host->servingMilliCores > 0 && host->backfillMilliCores > 0;
+    const milliseconds busyWait = shared ? options.sharedRenewalWait : options.renewalWait;
+    renew(link, host->runs.empty() ? idleRenewalWait : busyWait, now);
 }
 
 void FleetHolder::Impl::onDurable()
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -28,6 +28,9 @@
     milliseconds lease{5900};
     /// Longest time for which a renewal waits for an end.
     milliseconds renewalWait{900};
+    /// The same for hosts on which batch tasks run beside serving ones, whose tails change within a
+    /// second.
+    milliseconds sharedRenewalWait{450};
     /// Time for a host to answer beyond the wait; about 100 times an ordinary answer.
     Duration hostTimeout = milliseconds(400);
     /// Delay before a host that did not answer is asked again.
--- a/packages/logging/log.cpp
+++ b/packages/logging/log.cpp
@@ -1,12 +1,18 @@
 #include "logging/log.h"
 
+#include "base/time.h"
+
 #include <atomic>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <memory>
+#include <poll.h>
+#include <sstream>
+#include <string>
+#include <unistd.h>
 
 namespace acaciadeal {
 namespace {
@@ -33,6 +39,108 @@
 
 std::atomic<bool> isOpen = false;
 
+/// Lines are gathered up to this size; a pipe that is writable takes as much without blocking.
+constexpr std::size_t bufferSize = 4096;
+/// Lines that are gathered for longer are written with the next one, or by flushLog().
+constexpr Duration gatherTime = milliseconds(100);
+/// Most lines in one second; the rest is counted and dropped.
+constexpr int maxLinesPerSecond = 2000;
+
+/// Writes whole lines to standard output, and drops lines instead of waiting for its reader. The
+/// appender's own lock covers all of it.
+class BoundedOutput : public log4cplus::Appender
+{
+public:
+    ~BoundedOutput() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        write();
+    }
+
+    void flush()
+    {
+        const log4cplus::thread::MutexGuard guard(access_mutex);
+        write();
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (now - m_secondBegan >= std::chrono::seconds(1)) {
+            m_secondBegan = now;
+            m_linesInSecond = 0;
+            reportDropped();
+        }
+        if (++m_linesInSecond > maxLinesPerSecond) {
+            ++m_dropped;
+            return;
+        }
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        add(line.str(), now);
+    }
+
+private:
+    void add(const std::string &line, TimePoint now)
+    {
+        if (m_buffer.size() + line.size() > bufferSize) {
+            write();
+        }
+        if (m_buffer.size() + line.size() > bufferSize) {
+            ++m_dropped;
+            return;
+        }
+        if (m_buffer.empty()) {
+            m_gatheredSince = now;
+        }
+        m_buffer += line;
+        if (now - m_gatheredSince >= gatherTime || m_buffer.size() >= bufferSize / 2) {
+            write();
+        }
+    }
+
+    /// Leaves the buffer as it is while the reader of standard output does not read.
+    void write()
+    {
+        pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        if (m_buffer.empty() || poll(&output, 1, 0) <= 0) {
+            return;
+        }
+        const ssize_t n = ::write(STDOUT_FILENO, m_buffer.data(), m_buffer.size());
+        // Nobody can be told of a broken output; the lines are gone either way.
+        m_buffer.erase(0, n > 0 ? static_cast<std::size_t>(n) : m_buffer.size());
+    }
+
+    void reportDropped()
+    {
+        if (m_dropped == 0) {
+            return;
+        }
+        const EventInfo &info = eventInfo(EventId::LogLinesDropped);
+        const std::string line = std::to_string(static_cast<int>(info.id)) + " "
+                                 + std::string(info.name) + " lines=" + std::to_string(m_dropped)
+                                 + "\n";
+        if (m_buffer.size() + line.size() <= bufferSize) {
+            m_buffer += line;
+            m_dropped = 0;
+        }
+    }
+
+    std::string m_buffer;
+    TimePoint m_gatheredSince;
+    TimePoint m_secondBegan;
+    int m_linesInSecond = 0;
+    std::uint64_t m_dropped = 0;
+};
+
+/// Owned by the logger; null before openLog().
+std::atomic<BoundedOutput *> output = nullptr;
+
 void appendQuoted(std::string &line, const std::string &value)
 {
     if (!value.empty() && value.find_first_of(" \"\n") == std::string::npos) {
@@ -56,18 +164,24 @@
 
 void openLog(const LogOptions &options)
 {
-    const bool logToStandardError = true;
-    const bool flushEachLine = true;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(logToStandardError, flushEachLine));
+    auto *const bounded = new BoundedOutput;
+    const log4cplus::SharedAppenderPtr appender(bounded);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} "
                                                                    + options.daemon + " %p %m%n"));
     rootLogger().removeAllAppenders();
     rootLogger().addAppender(appender);
     rootLogger().setLogLevel(levelOf(options.minimum));
+    output = bounded;
     isOpen = true;
 }
 
+void flushLog()
+{
+    if (BoundedOutput *const bounded = output) {
+        bounded->flush();
+    }
+}
+
 void logEvent(EventId id, std::initializer_list<LogField> fields)
 {
     if (!isOpen) {
--- a/packages/logging/log.h
+++ b/packages/logging/log.h
@@ -22,7 +22,8 @@
     std::string value;
 };
 
-/// Opens the log on standard error. Precondition: called once, before any other function here and
+/// Opens the log on standard output. Logging never blocks: lines are gathered for up to 100 ms, and
+/// dropped and counted if the output is full or there are too many of them. Precondition: called once, before any other function here and
 /// before other threads start.
 void openLog(const LogOptions &options);
 
@@ -30,6 +31,10 @@
 /// contains a space. Thread-safe. Does nothing before openLog().
 void logEvent(EventId id, std::initializer_list<LogField> fields = {});
 
+/// Writes the lines that were gathered, unless the output is full. Thread-safe. Called
+/// periodically and before the process ends.
+void flushLog();
+
 } // namespace acaciadeal
 
 #endif
--- /dev/null
+++ b/packages/logging/log_test.cpp
@@ -0,0 +1,70 @@
+#include "logging/log.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+/// Puts a pipe in the place of standard output.
+struct CapturedOutput
+{
+    int saved = dup(STDOUT_FILENO);
+    int pipeEnds[2] = {-1, -1};
+
+    CapturedOutput()
+    {
+        REQUIRE(pipe(pipeEnds) == 0);
+        dup2(pipeEnds[1], STDOUT_FILENO);
+        fcntl(pipeEnds[0], F_SETFL, O_NONBLOCK);
+    }
+
+    std::string read() const
+    {
+        std::string text;
+        char buf[4096];
+        for (ssize_t n = 0; (n = ::read(pipeEnds[0], buf, sizeof buf)) > 0;) {
+            text.append(buf, static_cast<std::size_t>(n));
+        }
+        return text;
+    }
+
+    ~CapturedOutput()
+    {
+        dup2(saved, STDOUT_FILENO);
+        close(saved);
+        close(pipeEnds[0]);
+        close(pipeEnds[1]);
+    }
+};
+
+} // namespace
+
+// Guards against a daemon that stands still because nobody reads its log: a blocking write would
+// hang this test.
+TEST_CASE("a full output drops lines and does not block")
+{
+    std::string text;
+    {
+        const CapturedOutput captured;
+        openLog({.daemon = "d1"});
+        for (int n = 0; n < 5000; ++n) {
+            logEvent(EventId::JobAccepted, {{"job", std::to_string(n)}, {"filler", "0123456789"}});
+        }
+        flushLog();
+        text = captured.read();
+        // The next second tells how many lines are missing.
+        usleep(1'100'000);
+        logEvent(EventId::JobAccepted, {{"job", "last"}});
+        flushLog();
+        text += captured.read();
+    }
+    CHECK(text.find("d1 INFO 8001 JobAccepted job=0 filler=0123456789") != std::string::npos);
+    CHECK(text.find("8016 LogLinesDropped lines=") != std::string::npos);
+    CHECK(text.find("job=last") != std::string::npos);
+    // Lines are dropped as a whole.
+    CHECK(text.back() == '\n');
+}
