Show operators the holder, the hosts and why a job waits

Change: pages /v1/fleet/... on the metrics address and the commands fleet status, late, job and host of acaciadealctl; their texts say why a job waits.

--- a/packages/ctl/commandline.cpp
+++ b/packages/ctl/commandline.cpp
@@ -161,6 +161,10 @@
   tasks cancel ID               cancel a task
   tasks late                    list the tasks beyond their deadline
   status                        show the state of the daemon
+  fleet status                  show the holder, the hosts and the load
+  fleet late                    list the jobs beyond their objective
+  fleet job ID                  say what each task of a job does or why it waits
+  fleet host ID                 show what a host runs
   request get ID                fetch the answer of a request
   job submit FILE               submit a job
   alerts check FILE             check a file of alert rules
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -118,6 +118,10 @@
             {"tasks", "explain", 1, 1, &Command::tasksExplain},
             {"tasks", "cancel", 1, 1, &Command::tasksCancel},
             {"tasks", "late", 0, 0, &Command::tasksLate},
+            {"fleet", "status", 0, 0, &Command::fleetPage},
+            {"fleet", "late", 0, 0, &Command::fleetPage},
+            {"fleet", "job", 1, 1, &Command::fleetItem},
+            {"fleet", "host", 1, 1, &Command::fleetItem},
             {"request", "get", 1, 1, &Command::requestGet},
             {"job", "submit", 1, 1, &Command::jobSubmit},
             {"alerts", "check", 1, 1, &Command::alertsCheck},
@@ -459,6 +463,16 @@
         return show({.target = "/v1/tasks-late"});
     }
 
+    ExitCode fleetPage()
+    {
+        return show({.target = "/v1/fleet/" + m_line.words[1]});
+    }
+
+    ExitCode fleetItem()
+    {
+        return show({.target = "/v1/fleet/" + m_line.words[1] + "s/" + encoded(argument(0))});
+    }
+
     ExitCode requestGet()
     {
         return show({.target = "/v1/requests/" + encoded(argument(0))});
--- a/packages/ctl/ctl_test.cpp
+++ b/packages/ctl/ctl_test.cpp
@@ -175,6 +175,17 @@
     CHECK(Session().run({"job", "submit", "/nonexistent"}) == ExitCode::Usage);
 }
 
+TEST_CASE("the fleet commands ask for the fleet's pages")
+{
+    Session session;
+    session.answers = {jsonResponse("{}"), jsonResponse("{}")};
+    CHECK(session.run({"fleet", "status"}) == ExitCode::Success);
+    CHECK(session.run({"fleet", "job", "5c0e7a21d94b36f8"}) == ExitCode::Success);
+    REQUIRE(session.requests.size() == 2);
+    CHECK(session.requests[0].target == "/v1/fleet/status");
+    CHECK(session.requests[1].target == "/v1/fleet/jobs/5c0e7a21d94b36f8");
+}
+
 // Guards against an operator who is told that a failure domain is empty while work is left in it.
 TEST_CASE("domain out --wait ends when nothing is left and every daemon has confirmed")
 {
--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -5,7 +5,9 @@
 #include "fleet/jobfront.h"
 #include "fleet/operatorwatch.h"
 #include "fleet/ownership.h"
+#include "fleet/statuspages.h"
 #include "http/httpclient.h"
+#include "http/httprouter.h"
 #include "http/httpserver.h"
 #include "kernel/pluginregistry.h"
 #include "logging/log.h"
@@ -78,6 +80,7 @@
     void hold(std::uint64_t epoch, TimePoint since);
     void lose();
     void onOperators();
+    StatusInputs statusInputs() const;
 
     DaemonSettings settings;
     EventLoop loop;
@@ -180,6 +183,16 @@
     }
 }
 
+StatusInputs FleetDaemon::Impl::statusInputs() const
+{
+    return {.daemon = settings.daemon,
+            .mayAct = ownership->mayAct(),
+            .owner = ownership->holder(),
+            .view = operators->view(),
+            .dispatcher = holder ? &holder->dispatcher() : nullptr,
+            .now = bootNow()};
+}
+
 Result<void> FleetDaemon::Impl::openSockets()
 {
     peerServer = std::make_unique<PeerServer>(
@@ -219,7 +232,12 @@
     }
     metricsServer = std::make_unique<HttpServer>(
         loop, HttpServerOptions{.listen = settings.fleet->metricsListen},
-        [this](const HttpRequest &, const HttpResponder &respond) {
+        [this](const HttpRequest &request, const HttpResponder &respond) {
+            const std::string path = pathOf(request.target);
+            if (path.starts_with("/v1/")) {
+                respond(statusPage(path, statusInputs()));
+                return;
+            }
             respond(
                 {statusOk, {{"content-type", "text/plain; version=0.0.4"}}, metrics.exposition()});
         });
--- /dev/null
+++ b/packages/fleet/statuspages.cpp
@@ -0,0 +1,205 @@
+#include "fleet/statuspages.h"
+
+#include "dispatch/placement.h"
+
+#include <nlohmann/json.hpp>
+
+namespace acaciadeal {
+namespace {
+
+using nlohmann::json;
+
+const std::string statusPath = "/v1/fleet/status";
+const std::string latePath = "/v1/fleet/late";
+const std::string jobsPath = "/v1/fleet/jobs/";
+const std::string hostsPath = "/v1/fleet/hosts/";
+
+std::int64_t millisecondsOf(Duration duration)
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+const char *nameOf(JobState state)
+{
+    switch (state) {
+    case JobState::Queued:
+        return "queued";
+    case JobState::Running:
+        return "running";
+    case JobState::Completed:
+        return "completed";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        return "cancelled";
+    }
+    return "unrecognized";
+}
+
+const char *nameOf(TaskPhase phase)
+{
+    switch (phase) {
+    case TaskPhase::Waiting:
+        return "waiting";
+    case TaskPhase::Starting:
+        return "starting";
+    case TaskPhase::Uncertain:
+        return "start unanswered";
+    case TaskPhase::Running:
+        return "running";
+    case TaskPhase::Stopping:
+        return "stopping";
+    case TaskPhase::Done:
+        return "done";
+    }
+    return "unrecognized";
+}
+
+json statusOf(const StatusInputs &inputs)
+{
+    json j = {{"daemon", inputs.daemon.value},
+              {"holder", inputs.owner.daemon.value},
+              {"epoch", inputs.owner.epoch},
+              {"holds_shard", inputs.mayAct},
+              {"configuration", inputs.view == nullptr ? 0 : inputs.view->config.version}};
+    json evacuated = json::array();
+    if (inputs.view != nullptr) {
+        for (const FailureDomainId &domain : inputs.view->evacuated) {
+            evacuated.push_back(domain.value);
+        }
+    }
+    j["evacuated"] = std::move(evacuated);
+    if (inputs.dispatcher != nullptr) {
+        const FleetSummary sum = summarize(inputs.dispatcher->fleet);
+        j["hosts"] = sum.hosts;
+        j["usable_hosts"] = sum.usableHosts;
+        j["cores"] = sum.capacity.milliCores / 1000;
+        j["committed_cores"] = sum.committed.milliCores / 1000;
+        j["backfill_cores"] = sum.backfillMilliCores / 1000;
+        j["live_jobs"] = inputs.dispatcher->fleet.live.size();
+        j["waiting_tasks"] = sum.waitingTasks;
+    }
+    return j;
+}
+
+/// Says why the waiting tasks of a step do not run.
+std::string reasonToWait(const FleetState &fleet, const JobRuntime &job, std::size_t n)
+{
+    const StepSpec &step = job.spec.steps[n];
+    if (job.unaccounted) {
+        return "the holder is new; a host that may run them has not answered yet";
+    }
+    if (!job.steps[n].open) {
+        return "an earlier step is not done";
+    }
+    if (!canEverRun(fleet, job.spec.terms.service, step)) {
+        return "no host of the service is large enough or has the label";
+    }
+    if (step.backfill) {
+        return "no host has idle processors for it beside what its image does not disturb";
+    }
+    return step.longRunning ? "no room beside what short tasks need from time to time"
+                            : "no host has room";
+}
+
+HttpResponse jobPage(const FleetState &fleet, const JobId &id, TimePoint now)
+{
+    const JobRuntime *const job = findJob(fleet, id);
+    if (job == nullptr) {
+        return errorResponse({ResultCode::JobNotFound, "no such job is known", id.value});
+    }
+    json steps = json::array();
+    for (std::size_t n = 0; n < job->steps.size(); ++n) {
+        json tasks = json::array();
+        for (const TaskRuntime &task : job->steps[n].tasks) {
+            tasks.push_back({{"phase", nameOf(task.phase)},
+                             {"host", task.host.value},
+                             {"run", task.run},
+                             {"percent", task.percent}});
+        }
+        json step = {{"step", n}, {"waiting", job->steps[n].waiting}, {"tasks", std::move(tasks)}};
+        if (job->steps[n].waiting > 0 && !isTerminal(job->progress.outcome)) {
+            step["waits_because"] = reasonToWait(fleet, *job, n);
+        }
+        steps.push_back(std::move(step));
+    }
+    return jsonResponse(json{
+        {"job", id.value},
+        {"queue", job->spec.terms.queue},
+        {"state", nameOf(stateOf(*job))},
+        {"age_ms", millisecondsOf(now - job->acceptedAt)},
+        {"objective_left_ms", millisecondsOf(job->objective - now)},
+        {"steps",
+         std::move(steps)}}.dump());
+}
+
+HttpResponse hostPage(const FleetState &fleet, const HostId &id, TimePoint now)
+{
+    const auto it = fleet.hosts.find(id);
+    if (it == fleet.hosts.end()) {
+        return errorResponse({ResultCode::UnknownHost, "no such host is known", id.value});
+    }
+    const FleetHost &host = it->second;
+    json runs = json::array();
+    for (const auto &[task, run] : host.runs) {
+        const TaskRuntime *const runtime = findTask(fleet, task);
+        runs.push_back({{"task", describe(task)},
+                        {"run", run},
+                        {"phase", runtime == nullptr ? "unknown" : nameOf(runtime->phase)}});
+    }
+    return jsonResponse(json{
+        {"host", id.value},
+        {"failure_domain", host.failureDomain.value},
+        {"listed", host.listed},
+        {"reachable", host.reachable},
+        {"leaving", host.leaving},
+        {"avoided_for_ms", std::max<std::int64_t>(millisecondsOf(host.avoidUntil - now), 0)},
+        {"cores", host.capacity.milliCores / 1000},
+        {"committed_cores", host.committed.milliCores / 1000},
+        {"backfill_cores", host.backfillMilliCores / 1000},
+        {"backfill_speed_percent", host.pace},
+        {"highest_tail_ratio", host.tailRatio},
+        {"runs",
+         std::move(runs)}}.dump());
+}
+
+HttpResponse latePage(const FleetState &fleet, TimePoint now)
+{
+    json late = json::array();
+    for (const JobRuntime *const job : fleet.live) {
+        if (now > job->objective && !isLongRunning(job->spec)) {
+            late.push_back({{"job", job->spec.id.value},
+                            {"queue", job->spec.terms.queue},
+                            {"late_ms", millisecondsOf(now - job->objective)}});
+        }
+    }
+    return jsonResponse(json{{"late", std::move(late)}}.dump());
+}
+
+} // namespace
+
+HttpResponse statusPage(const std::string &path, const StatusInputs &inputs)
+{
+    if (path == statusPath) {
+        return jsonResponse(statusOf(inputs).dump());
+    }
+    const bool known =
+        path == latePath || path.starts_with(jobsPath) || path.starts_with(hostsPath);
+    if (!known) {
+        return errorResponse({ResultCode::UnknownPath, "no such page", path});
+    }
+    if (inputs.dispatcher == nullptr) {
+        return errorResponse(
+            {ResultCode::NotHolder, "the holder answers this", inputs.owner.daemon.value});
+    }
+    const FleetState &fleet = inputs.dispatcher->fleet;
+    if (path == latePath) {
+        return latePage(fleet, inputs.now);
+    }
+    if (path.starts_with(jobsPath)) {
+        return jobPage(fleet, {path.substr(jobsPath.size())}, inputs.now);
+    }
+    return hostPage(fleet, {path.substr(hostsPath.size())}, inputs.now);
+}
+
+} // namespace acaciadeal
