--- a/packages/dispatch/admission.cpp
+++ b/packages/dispatch/admission.cpp
@@ -91,7 +91,8 @@
 {
     AdmissionDecision decision;
     const double own = backfillWork(job);
-    if (own <= 0 || fleet.jobs.contains(job.id)) {
+    decision.stored = fleet.jobs.contains(job.id);
+    if (own <= 0 || decision.stored) {
         return decision;
     }
     std::map<ImageId, double> byImage;
--- a/packages/dispatch/admission.h
+++ b/packages/dispatch/admission.h
@@ -8,6 +8,8 @@
 struct AdmissionDecision
 {
     bool admitted = true;
+    /// Whether the job is stored already: a repetition is accepted without another write.
+    bool stored = false;
     /// Time after which the job would be admitted, as far as can be told; set for a rejection.
     milliseconds retryAfter{0};
     /// Inputs of the decision, for the log: work ahead of the job and processors for it.
--- a/packages/dispatch/admission_test.cpp
+++ b/packages/dispatch/admission_test.cpp
@@ -75,6 +75,8 @@
     add(dispatcher, first);
     CHECK_FALSE(judgeAdmission(dispatcher.fleet, batchJob("other", 1), start, start).admitted);
     CHECK(judgeAdmission(dispatcher.fleet, first, start, start).admitted);
+    CHECK(judgeAdmission(dispatcher.fleet, first, start, start).stored);
+    CHECK_FALSE(judgeAdmission(dispatcher.fleet, batchJob("other", 1), start, start).stored);
 }
 
 // Guards against urgent work that is rejected for a backlog of batch work.
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -799,7 +799,7 @@
                   {"cores", std::to_string(static_cast<int>(decision.cores))},
                   {"retry_after_ms", std::to_string(decision.retryAfter.count())}});
     }
-    if (decision.admitted) {
+    if (decision.admitted && !decision.stored) {
         impl.dispatcher.fleet.offered[job.id] = backfillWork(job);
         impl.env.loop.postAfter(impl.options.offerValidity, impl.guarded([&impl, id = job.id] {
             impl.dispatcher.fleet.offered.erase(id);
--- a/packages/fleet/jobfront.cpp
+++ b/packages/fleet/jobfront.cpp
@@ -20,6 +20,9 @@
 constexpr const char *jobCancel = "job-cancel";
 constexpr const char *queuePending = "queue-pending";
 
+/// Body of the answer to an offer of a job that is stored already.
+constexpr const char *storedAlready = "stored";
+
 constexpr unsigned statusOk = 200;
 /// The store takes 100 entries in a write, checks and rows counted.
 constexpr std::size_t jobsPerCommit = 40;
@@ -103,6 +106,8 @@
                       decision.retryAfter =
                           milliseconds(numberOf(answer->body).value_or(defaultRetryAfterMs));
                   }
+                  decision.stored =
+                      answer && answer->status == statusOk && answer->body == storedAlready;
                   onOffered(submission, decision);
               });
 }
@@ -110,6 +115,11 @@
 void JobFront::onOffered(const std::shared_ptr<Submission> &submission,
                          const AdmissionDecision &decision)
 {
+    if (decision.stored) {
+        // A refusal by the store now would deny a job that runs.
+        settle(submission, {});
+        return;
+    }
     if (decision.admitted) {
         store(submission);
         return;
@@ -411,7 +421,7 @@
         const AdmissionDecision decision = spec ? holder->offer(*spec) : AdmissionDecision{};
         respond(ForwardedAnswer{
             .status = decision.admitted ? statusOk : static_cast<unsigned>(ResultCode::Overloaded),
-            .body = std::to_string(decision.retryAfter.count())});
+            .body = decision.stored ? storedAlready : std::to_string(decision.retryAfter.count())});
         return;
     }
     if (request.requestClass == queuePending) {
--- a/packages/settings/daemonsettings_test.cpp
+++ b/packages/settings/daemonsettings_test.cpp
@@ -42,6 +42,24 @@
     CHECK((settings->platformEndpoint == Endpoint{"127.0.0.1", 3}));
 }
 
+// Guards against a fleet daemon that starts with half of its settings, or with ones of another kind.
+TEST_CASE("the fleet section is read and checked")
+{
+    const std::string fleet = minimal + R"(,"fleet":{"adapter":"a","ready_listen":"127.0.0.1:4")";
+    const auto settings = parseDaemonSettings(
+        fleet + R"(,"metrics_listen":"127.0.0.1:5","max_lease_ms":8000,"core_share":0.25}})");
+    REQUIRE(settings.has_value());
+    REQUIRE(settings->fleet);
+    CHECK(settings->fleet->maxLease == std::chrono::seconds(8));
+    CHECK(settings->fleet->coreShare == 0.25);
+    CHECK((settings->fleet->metricsListen == Endpoint{"127.0.0.1", 5}));
+    CHECK_FALSE(parseDaemonSettings(minimal + "}")->fleet);
+    CHECK(errorOf(minimal + R"(,"fleet":{}})").where == "/fleet/adapter");
+    CHECK(errorOf(fleet + R"(,"max_lease_ms":10}})").code == ResultCode::OutOfRange);
+    CHECK(errorOf(fleet + R"(,"core_share":"much"}})").code == ResultCode::WrongType);
+    CHECK(errorOf(fleet + R"(,"lease":1}})").where == "/fleet/lease");
+}
+
 // Guards against a daemon that starts with a setting other than the operator wrote.
 TEST_CASE("each kind of fault is refused with its code and path")
 {
