Stop trying to store a job after 0.4 of the caller's time

Cause: while the store was slow or refused, submissions were tried until 0.3 s before the caller's deadline, so callers got 504 with no time left to try another daemon.

Change: no further attempt after 0.4 of the caller's time; an attempt in progress may still succeed. The holder's log lines moved to internal/holderlog; a test replays an outage of the store for all and fails without its mechanism.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -7,6 +7,7 @@
 #include "runtime/eventloop.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 #include <future>
 #include <optional>
@@ -329,42 +330,23 @@
 
 namespace {
 
-/// Two daemons that compete for the shard.
+/// Two daemons that compete for the shard, each of which can lose the store.
 struct Rivals
 {
     EventLoop loop{{.threads = 1}};
-    PlatformAdapter platform;
-    /// Writes of daemon 0 fail while set, as if the store turned it away.
-    bool firstIsCutOff = false;
-    PlatformAdapter cutOff;
+    PlatformAdapter store;
+    std::array<PlatformAdapter, 2> adapters;
+    std::array<bool, 2> cutOff{};
+    std::array<std::uint64_t, 2> epochs{};
     std::vector<std::unique_ptr<ShardOwnership>> daemons;
-    std::vector<std::uint64_t> epochs{0, 0};
 
     Rivals()
     {
-        platform = PluginRegistry<PlatformPlugin>::instance().find("memory")->create(loop, {});
-        cutOff = platform;
-        cutOff.commit = [this](Transaction transaction, CommitCallback callback) {
-            if (firstIsCutOff) {
-                loop.post([callback = std::move(callback)] {
-                    callback(failure(ResultCode::PlatformUnavailable, "cut off"));
-                });
-                return;
-            }
-            platform.commit(std::move(transaction), std::move(callback));
-        };
-        cutOff.readTable = [this](const std::string &table, SnapshotCallback callback) {
-            if (firstIsCutOff) {
-                loop.post([callback = std::move(callback)] {
-                    callback(failure(ResultCode::PlatformUnavailable, "cut off"));
-                });
-                return;
-            }
-            platform.readTable(table, std::move(callback));
-        };
-        for (std::size_t n = 0; n < 2; ++n) {
+        store = PluginRegistry<PlatformPlugin>::instance().find("memory")->create(loop, {});
+        for (std::size_t n = 0; n < adapters.size(); ++n) {
+            connect(n);
             daemons.push_back(std::make_unique<ShardOwnership>(
-                loop, n == 0 ? cutOff : platform,
+                loop, adapters[n],
                 OwnershipOptions{.daemon = {"d" + std::to_string(n)},
                                  .incarnation = n + 1,
                                  .peer = {"127.0.0.1", 1},
@@ -385,6 +367,54 @@
     {
         loop.stop();
     }
+
+    void connect(std::size_t n)
+    {
+        adapters[n] = store;
+        adapters[n].commit = [this, n](Transaction transaction, CommitCallback callback) {
+            if (cutOff[n]) {
+                refuse(std::move(callback));
+            } else {
+                store.commit(std::move(transaction), std::move(callback));
+            }
+        };
+        adapters[n].readTable = [this, n](const std::string &table, SnapshotCallback callback) {
+            if (cutOff[n]) {
+                refuse(std::move(callback));
+            } else {
+                store.readTable(table, std::move(callback));
+            }
+        };
+    }
+
+    template<typename Callback>
+    void refuse(Callback callback)
+    {
+        loop.post([callback = std::move(callback)] {
+            callback(failure(ResultCode::PlatformUnavailable, "cut off"));
+        });
+    }
+
+    void start(std::size_t n)
+    {
+        onLoop(loop, [this, n] {
+            daemons[n]->start();
+            return true;
+        });
+    }
+
+    void setCutOff(bool first, bool second)
+    {
+        onLoop(loop, [this, first, second] {
+            cutOff = {first, second};
+            return true;
+        });
+    }
+
+    bool mayAct(std::size_t n)
+    {
+        return onLoop(loop, [this, n] { return daemons[n]->mayAct(); });
+    }
 };
 
 } // namespace
@@ -393,21 +423,12 @@
 TEST_CASE("a holder that cannot reach the store stops acting before another one claims")
 {
     Rivals rivals;
-    onLoop(rivals.loop, [&] {
-        rivals.daemons[0]->start();
-        return true;
-    });
+    rivals.start(0);
     REQUIRE(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
-    onLoop(rivals.loop, [&] {
-        rivals.daemons[1]->start();
-        return true;
-    });
+    rivals.start(1);
     std::this_thread::sleep_for(milliseconds(500));
     CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[1]; }) == 0);
-    onLoop(rivals.loop, [&] {
-        rivals.firstIsCutOff = true;
-        return true;
-    });
+    rivals.setCutOff(true, false);
     bool both = false;
     REQUIRE(eventually(rivals.loop, [&] {
         both = both || (rivals.daemons[0]->mayAct() && rivals.daemons[1]->mayAct());
@@ -417,20 +438,38 @@
     CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[1]; }) == 2);
 }
 
+// Guards against a takeover at the end of each outage of the store, when the holder was as silent
+// as everybody else.
+TEST_CASE("an outage of the store for all does not cost the holder its shard")
+{
+    Rivals rivals;
+    rivals.start(0);
+    REQUIRE(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    rivals.start(1);
+    std::this_thread::sleep_for(milliseconds(100));
+    rivals.setCutOff(true, true);
+    std::this_thread::sleep_for(milliseconds(600));
+    CHECK_FALSE(rivals.mayAct(0));
+    // The other daemon reads first.
+    rivals.setCutOff(true, false);
+    std::this_thread::sleep_for(milliseconds(60));
+    rivals.setCutOff(false, false);
+    CHECK(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[1]; }) == 0);
+    CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[0]; }) == 1);
+}
+
 // Guards against a wait for the silence of a holder that said it was leaving.
 TEST_CASE("a released shard is claimed at once")
 {
     Rivals rivals;
-    onLoop(rivals.loop, [&] {
-        rivals.daemons[0]->start();
-        return true;
-    });
+    rivals.start(0);
     REQUIRE(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    rivals.start(1);
     onLoop(rivals.loop, [&] {
-        rivals.daemons[1]->start();
         rivals.daemons[0]->release([] {});
         return true;
     });
     CHECK(eventually(rivals.loop, [&] { return rivals.daemons[1]->mayAct(); }));
-    CHECK_FALSE(onLoop(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    CHECK_FALSE(rivals.mayAct(0));
 }
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -1,5 +1,6 @@
 #include "fleet/holder.h"
 
+#include "fleet/internal/holderlog.h"
 #include "fleet/internal/hostlink.h"
 #include "fleet/internal/progresswriter.h"
 #include "fleet/internal/roster.h"
@@ -77,11 +78,10 @@
     void sendStart(const StartRun &order, TimePoint now);
     void sendStop(const StopRun &order);
     void sendPace(const PaceRun &order);
-    void logFindings();
     void afterEvent();
 
     void tick();
-    void logStatus();
+    void reportStatus();
     void readModel();
     void storeModel();
     void readNewJobs();
@@ -424,7 +424,7 @@
 
 void FleetHolder::Impl::afterEvent()
 {
-    logFindings();
+    internal::logFindings(dispatcher, env.metrics);
     writer.flushSoon();
     tryAccount(bootNow());
     planSoon();
@@ -537,53 +537,6 @@
                    }));
 }
 
-void FleetHolder::Impl::logFindings()
-{
-    for (const Finding &finding : std::exchange(dispatcher.findings, {})) {
-        const std::string run = std::to_string(finding.run);
-        switch (finding.kind) {
-        case Finding::Kind::RunEnded:
-            env.metrics.count("fleet_runs_ended_total", {{"end", finding.reason}});
-            logEvent(EventId::RunEnded, {{"job", finding.job.value},
-                                         {"task", finding.subject},
-                                         {"run", run},
-                                         {"host", finding.host.value},
-                                         {"end", finding.reason}});
-            break;
-        case Finding::Kind::RunLost:
-            env.metrics.count("fleet_runs_lost_total", {});
-            logEvent(EventId::RunLost, {{"job", finding.job.value},
-                                        {"task", finding.subject},
-                                        {"run", run},
-                                        {"host", finding.host.value},
-                                        {"reason", finding.reason}});
-            break;
-        case Finding::Kind::RunAdopted:
-            logEvent(EventId::RunAdopted, {{"job", finding.job.value},
-                                           {"task", finding.subject},
-                                           {"run", run},
-                                           {"host", finding.host.value}});
-            break;
-        case Finding::Kind::HostAvoided:
-            logEvent(EventId::HostAvoided,
-                     {{"host", finding.host.value}, {"reason", finding.reason}});
-            break;
-        case Finding::Kind::JobEnded: {
-            const JobRuntime *const job = findJob(dispatcher.fleet, finding.job);
-            const auto age = job == nullptr ? Duration(0) : bootNow() - job->acceptedAt;
-            env.metrics.observe("fleet_job_seconds",
-                                {{"queue", job == nullptr ? "" : job->spec.terms.queue}}, age);
-            logEvent(EventId::JobEnded,
-                     {{"job", finding.job.value},
-                      {"reason", finding.reason},
-                      {"age_ms",
-                       std::to_string(std::chrono::duration_cast<milliseconds>(age).count())}});
-            break;
-        }
-        }
-    }
-}
-
 void FleetHolder::Impl::tick()
 {
     const TimePoint now = bootNow();
@@ -606,25 +559,10 @@
     env.loop.postAfter(options.tickEvery, guarded([this] { tick(); }));
 }
 
-void FleetHolder::Impl::logStatus()
+void FleetHolder::Impl::reportStatus()
 {
-    const FleetSummary sum = summarize(dispatcher.fleet);
-    const auto cores = [](std::int64_t milliCores) {
-        return std::to_string(milliCores / 1000);
-    };
-    logEvent(EventId::FleetStatus,
-             {{"hosts", std::to_string(sum.hosts)},
-              {"usable", std::to_string(sum.usableHosts)},
-              {"cores", cores(sum.capacity.milliCores)},
-              {"committed", cores(sum.committed.milliCores)},
-              {"serving", cores(sum.servingMilliCores)},
-              {"backfill", cores(sum.backfillMilliCores)},
-              {"memory_gib", std::to_string(sum.capacity.memoryMiB / 1024)},
-              {"memory_used_gib", std::to_string(sum.committed.memoryMiB / 1024)},
-              {"live_jobs", std::to_string(dispatcher.fleet.live.size())},
-              {"waiting_tasks", std::to_string(sum.waitingTasks)},
-              {"waiting_backfill_tasks", std::to_string(sum.waitingBackfillTasks)}});
-    env.loop.postAfter(options.statusEvery, guarded([this] { logStatus(); }));
+    internal::logStatus(dispatcher.fleet);
+    env.loop.postAfter(options.statusEvery, guarded([this] { reportStatus(); }));
 }
 
 /// Without the model of the previous holder this one only learns again; nothing waits for it.
@@ -761,7 +699,7 @@
     m_impl->readState();
     m_impl->listHosts();
     m_impl->tick();
-    m_impl->logStatus();
+    m_impl->reportStatus();
     m_impl->readModel();
     m_impl->env.loop.postAfter(m_impl->options.storeModelEvery,
                                m_impl->guarded([impl = m_impl.get()] { impl->storeModel(); }));
--- a/packages/fleet/jobfront.cpp
+++ b/packages/fleet/jobfront.cpp
@@ -85,7 +85,8 @@
 {
     auto submission = std::make_shared<Submission>();
     submission->job = std::move(job);
-    submission->deadline = bootNow() + timeout - m_options.answerReserve;
+    submission->deadline =
+        bootNow() + std::chrono::duration_cast<Duration>(timeout * m_options.attemptShare);
     submission->callback = std::move(callback);
     offer(submission);
 }
--- a/packages/fleet/jobfront.h
+++ b/packages/fleet/jobfront.h
@@ -26,8 +26,9 @@
     /// Jobs that arrive while a write is on its way are stored together by the next one. A second
     /// write joins one that takes this long, about 20 times an ordinary one.
     Duration slowCommit = milliseconds(150);
-    /// Time before a caller's deadline at which the final answer has to leave.
-    Duration answerReserve = milliseconds(300);
+    /// Part of a caller's time after which no further attempt is made. The caller gets its final
+    /// answer then, with time left to try another daemon.
+    double attemptShare = 0.4;
     /// Attempts to store a job while the store refuses; then the caller is told when to come back.
     int refusedAttempts = 3;
 };
--- a/packages/fleet/jobfront_test.cpp
+++ b/packages/fleet/jobfront_test.cpp
@@ -46,7 +46,7 @@
                                 .owner = [this]() -> const OwnerRecord & {
                                     return owner;
                                 }},
-            JobFrontOptions{.commitRetry = milliseconds(5), .answerReserve = milliseconds(10)});
+            JobFrontOptions{.commitRetry = milliseconds(5)});
     }
 
     ~Front()
