Count the fleet as idle by what is committed

Whether most of the fleet is idle included what other batch tasks used, which is not counted against a host's capacity.

Change: committed processors only, below 0.55.

Result: the extended test fails without the change.

--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -150,7 +150,7 @@
     std::map<HostId, FleetHost> hosts;
     std::set<FailureDomainId> evacuated;
     InterferenceModel interference;
-    /// Whether less than half of the usable processors are in use; see rateOpenness().
+    /// Whether about half of the usable processors or less are committed; see rateOpenness().
     bool isHalfEmpty = false;
     /// Processors that short committed tasks need, at their recent peak; see updateUrgentDemand().
     double urgentMilliCores = 0;
--- a/packages/dispatch/interference_test.cpp
+++ b/packages/dispatch/interference_test.cpp
@@ -197,5 +197,11 @@
                                   .backfill = true}}};
     addJob(crowded.dispatcher, spec, emptyProgress(spec), 0, false, start);
     CHECK(plan(crowded.dispatcher, start).starts.empty());
+    // What other batch tasks use counts as idle.
+    model.slope[serving * maxImages + imageId(model, "batch")] = {.value = 0, .variance = 0};
+    crowded.run("other", {.taskSize = {.milliCores = 17000},
+                          .estimatedRunTime = milliseconds(1000),
+                          .image = "batch",
+                          .backfill = true});
     CHECK(plan(crowded.dispatcher, start + disturbAfter).starts.size() == 1);
 }
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -153,8 +153,8 @@
         }
     }
     const FleetSummary sum = summarize(fleet);
-    fleet.isHalfEmpty =
-        2 * (sum.committed.milliCores + sum.backfillMilliCores) < sum.capacity.milliCores;
+    fleet.isHalfEmpty = static_cast<double>(sum.committed.milliCores)
+                        < halfEmptyBelow * static_cast<double>(sum.capacity.milliCores);
     for (auto &[id, host] : fleet.hosts) {
         host.openness = host.servingMilliCores == 0 ? 1 : 0;
         if (host.servingMilliCores == 0 || total <= 0) {
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -31,6 +31,10 @@
 /// for 3 s in an idle fleet.
 inline constexpr Duration disturbAfter = milliseconds(2000);
 
+/// Committed share below which most of the fleet counts as idle; what batch tasks use is not
+/// committed. Users say a half; the rest is for figures that are up to a second old.
+inline constexpr double halfEmptyBelow = 0.55;
+
 /// Notes for each host how much of the backfill work that waits could run there without disturbing
 /// what serves. Called once before a round of chooseHost().
 void rateOpenness(FleetState &fleet);
