--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -85,13 +85,6 @@
     TimePoint endedAt;
 };
 
-/// One run as the holder believes it is present at a host.
-struct HostRun
-{
-    TaskKey task;
-    std::uint64_t run = 0;
-};
-
 /// Pool member that runs tasks.
 struct FleetHost
 {
--- a/packages/fleet/jobfront_test.cpp
+++ b/packages/fleet/jobfront_test.cpp
@@ -116,6 +116,7 @@
     Front front;
     front.delay = milliseconds(50);
     std::vector<std::string> ids;
+    ids.reserve(30);
     for (int n = 0; n < 30; ++n) {
         ids.push_back("job" + std::to_string(n));
     }
--- a/packages/fleet/operatorwatch.cpp
+++ b/packages/fleet/operatorwatch.cpp
@@ -64,7 +64,6 @@
 
 void OperatorWatch::follow()
 {
-    // Without a configuration there is nothing to serve, so the first one is polled for.
     const Duration wait = m_options.feedWait;
     m_platform.changes(m_port.table, m_version, wait, [this](const Result<RowChanges> &changes) {
         if (!changes) {
--- a/packages/logging/log.h
+++ b/packages/logging/log.h
@@ -23,8 +23,8 @@
 };
 
 /// Opens the log on standard output. Logging never blocks: lines are gathered for up to 100 ms, and
-/// dropped and counted if the output is full or there are too many of them. Precondition: called once, before any other function here and
-/// before other threads start.
+/// dropped and counted if the output is full or there are too many of them. Precondition: called
+/// once, before any other function here and before other threads start.
 void openLog(const LogOptions &options);
 
 /// Writes one line: event number, event name, then the fields as name=value, quoted where a value
--- a/packages/settings/daemonsettings.h
+++ b/packages/settings/daemonsettings.h
@@ -22,8 +22,8 @@
     Endpoint readyListen;
     /// Longest lease that hosts grant; they shorten longer ones.
     milliseconds maxLease{6000};
-    /// Share of a core that the daemon gets, and the host's link in Mbit/s; 0 if they are not known.
-    /// Daemons on small hosts leave the shard to others where they can.
+    /// Share of a core that the daemon gets, and the host's link in Mbit/s; 0 if they are not
+    /// known. Daemons on small hosts leave the shard to others where they can.
     double coreShare = 0;
     double linkMbps = 0;
     /// Address of the metrics; port 0 if they are not served.
--- a/packages/settings/daemonsettings_test.cpp
+++ b/packages/settings/daemonsettings_test.cpp
@@ -42,7 +42,8 @@
     CHECK((settings->platformEndpoint == Endpoint{"127.0.0.1", 3}));
 }
 
-// Guards against a fleet daemon that starts with half of its settings, or with ones of another kind.
+// Guards against a fleet daemon that starts with half of its settings, or with ones of another
+// kind.
 TEST_CASE("the fleet section is read and checked")
 {
     const std::string fleet = minimal + R"(,"fleet":{"adapter":"a","ready_listen":"127.0.0.1:4")";
