Answer requests that arrive while a server drains

Cause: HttpServer::drain() could cut off requests in four ways. Closing the acceptor reset connections that waited to be accepted; a connection accepted in the same turn was dropped; a connection on which part of a request had arrived counted as idle; and the drain ended when no request was counted, although a session could have read one already, so that the process exited before its answer.

Change: the acceptor is emptied before it closes, accepted connections are always served, a connection with a partial request is kept until its answer, and the drain ends with the last connection.

--- a/packages/http/http_test.cpp
+++ b/packages/http/http_test.cpp
@@ -23,6 +23,55 @@
     return outcome.get_future().get();
 }
 
+/// Caller on a plain socket, which sends its request in parts of its own choice.
+class RawCaller
+{
+public:
+    explicit RawCaller(const Endpoint &endpoint)
+        : m_socket(m_context)
+    {
+        m_socket.connect({boost::asio::ip::make_address(endpoint.address), endpoint.port});
+    }
+    void send(const std::string &text)
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(text));
+    }
+    /// Returns the first line of the answer, or the error that ended the connection.
+    std::string statusLine()
+    {
+        std::string text;
+        boost::system::error_code ec;
+        boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(text), "\r\n", ec);
+        return ec ? ec.message() : text.substr(0, text.find("\r\n"));
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
+/// Occupies the loop's only thread until release() is called.
+class BusyLoop
+{
+public:
+    explicit BusyLoop(EventLoop &loop)
+    {
+        loop.post([this] {
+            m_entered.set_value();
+            m_released.get_future().wait();
+        });
+        m_entered.get_future().wait();
+    }
+    void release()
+    {
+        m_released.set_value();
+    }
+
+private:
+    std::promise<void> m_entered;
+    std::promise<void> m_released;
+};
+
 /// Accepts one connection, reads a request head, sends @p answer and closes.
 class RawServer
 {
@@ -149,6 +198,46 @@
     drained.get_future().wait();
 }
 
+// Guards against a shutdown resetting connections that were established and not accepted yet.
+TEST_CASE("a request on a connection that waits to be accepted is answered during a drain")
+{
+    EventLoop loop({.threads = 1});
+    HttpServer server(loop, {.listen = {"127.0.0.1", 0}, .idleGrace = milliseconds(50)},
+                      [](const HttpRequest &, const HttpResponder &respond) { respond({}); });
+    REQUIRE(server.start());
+    BusyLoop busy(loop);
+    std::vector<std::unique_ptr<RawCaller>> waiting;
+    for (int n = 0; n < 3; ++n) {
+        waiting.push_back(std::make_unique<RawCaller>(server.endpoint()));
+        waiting.back()->send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    }
+    std::promise<void> drained;
+    server.drain([&drained] { drained.set_value(); });
+    busy.release();
+    for (const auto &caller : waiting) {
+        CHECK(caller->statusLine() == "HTTP/1.1 200 OK");
+    }
+    drained.get_future().wait();
+}
+
+// Guards against a shutdown cutting off a request of which a part has arrived.
+TEST_CASE("a request that is arriving when connections are closed is answered")
+{
+    EventLoop loop({.threads = 1});
+    HttpServer server(loop, {.listen = {"127.0.0.1", 0}, .idleGrace = milliseconds(50)},
+                      [](const HttpRequest &, const HttpResponder &respond) { respond({}); });
+    REQUIRE(server.start());
+    RawCaller caller(server.endpoint());
+    caller.send("GET / HTTP/1.1\r\n");
+    std::promise<void> drained;
+    server.drain([&drained] { drained.set_value(); });
+    auto isDrained = drained.get_future();
+    CHECK(isDrained.wait_for(milliseconds(200)) == std::future_status::timeout);
+    caller.send("host: a\r\n\r\n");
+    CHECK(caller.statusLine() == "HTTP/1.1 200 OK");
+    isDrained.wait();
+}
+
 // Guards against a caller sending its next request on a connection that a shutdown closes.
 TEST_CASE("a server that will shut down says so in its answers")
 {
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -49,8 +49,9 @@
     }
 
     void accept();
-    void requestStarted();
-    void requestEnded();
+    void serve(tcp::socket socket);
+    void stopAccepting();
+    void sessionEnded(Session *session);
     void closeIdle(std::function<void()> done);
 
     EventLoop &loop;
@@ -60,9 +61,8 @@
 
     std::mutex mutex;
     std::set<Session *> sessions;
-    std::size_t requestsInProgress = 0;
-    bool draining = false;
     bool closingAfterAnswers = false;
+    /// Set while drain() waits for the last session to end.
     std::function<void()> drained;
 };
 
@@ -101,25 +101,46 @@
 {
     acceptor.async_accept(asio::make_strand(loop.context()),
                           [self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
-                              if (ec == asio::error::operation_aborted
-                                  || !self->acceptor.is_open()) {
-                                  return;
-                              }
+                              // A connection that was accepted just before the acceptor closed is
+                              // served: its caller may have sent a request.
                               if (!ec) {
-                                  std::make_shared<Session>(self, std::move(socket))->start();
+                                  self->serve(std::move(socket));
+                              }
+                              if (self->acceptor.is_open()) {
+                                  self->accept();
                               }
-                              self->accept();
                           });
 }
 
+void HttpServer::Impl::serve(tcp::socket socket)
+{
+    std::make_shared<Session>(shared_from_this(), std::move(socket))->start();
+}
+
+/// Closing the acceptor resets connections that wait to be accepted, so they are taken first.
+void HttpServer::Impl::stopAccepting()
+{
+    beast::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(asio::make_strand(loop.context()));
+        acceptor.accept(socket, ec);
+        if (!ec) {
+            serve(std::move(socket));
+        }
+    }
+    acceptor.close(ec);
+}
+
+/// Waits for the end of each session and not of each request: a session may have read a request
+/// that is not counted yet.
 void HttpServer::Impl::closeIdle(std::function<void()> done)
 {
     // Outlives the lock, because the destructor of a session takes the same mutex.
     std::vector<std::shared_ptr<Session>> open;
     {
         const std::lock_guard lock(mutex);
-        draining = true;
-        if (requestsInProgress > 0) {
+        if (!sessions.empty()) {
             drained = std::exchange(done, nullptr);
         }
         for (Session *const session : sessions) {
@@ -137,19 +158,13 @@
     }
 }
 
-void HttpServer::Impl::requestStarted()
-{
-    const std::lock_guard lock(mutex);
-    ++requestsInProgress;
-}
-
-void HttpServer::Impl::requestEnded()
+void HttpServer::Impl::sessionEnded(Session *session)
 {
     std::function<void()> done;
     {
         const std::lock_guard lock(mutex);
-        --requestsInProgress;
-        if (draining && requestsInProgress == 0) {
+        sessions.erase(session);
+        if (sessions.empty()) {
             done = std::exchange(drained, nullptr);
         }
     }
@@ -170,8 +185,7 @@
 
 Session::~Session()
 {
-    const std::lock_guard lock(m_server->mutex);
-    m_server->sessions.erase(this);
+    m_server->sessionEnded(this);
 }
 
 void Session::start()
@@ -184,7 +198,11 @@
 void Session::closeIfIdle()
 {
     asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] {
-        if (!self->m_busy) {
+        // A request that has begun to arrive is answered; the connection closes after it.
+        beast::error_code ec;
+        const bool arriving = (self->m_parser && self->m_parser->got_some())
+                              || self->m_stream.socket().available(ec) > 0;
+        if (!self->m_busy && !arriving) {
             self->close();
         }
     });
@@ -218,7 +236,6 @@
     }
     m_busy = true;
     m_stream.expires_never();
-    m_server->requestStarted();
     const bool keepAlive = m_parser->get().keep_alive();
     m_server->handler(toRequest(m_parser->get()),
                       [self = shared_from_this(), keepAlive](HttpResponse response) {
@@ -232,7 +249,6 @@
 void Session::refuse(const Error &error)
 {
     m_busy = true;
-    m_server->requestStarted();
     respond(errorResponse(error), false);
 }
 
@@ -261,7 +277,6 @@
 void Session::onWritten(beast::error_code ec, bool keepAlive)
 {
     m_busy = false;
-    m_server->requestEnded();
     if (ec || !keepAlive) {
         close();
         return;
@@ -274,6 +289,8 @@
     beast::error_code ec;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ec);
     m_stream.close();
+    // A handler may keep its responder, and with it this object, for longer than the connection.
+    m_server->sessionEnded(this);
 }
 
 } // namespace
@@ -316,10 +333,7 @@
 void HttpServer::drain(std::function<void()> done)
 {
     closeAfterAnswers();
-    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
-        beast::error_code ec;
-        impl->acceptor.close(ec);
-    });
+    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] { impl->stopAccepting(); });
     m_impl->loop.postAfter(m_impl->options.idleGrace,
                            [impl = m_impl, done = std::move(done)] { impl->closeIdle(done); });
 }
