Model tails as pressures, and follow the load of each serving task

Cause: tails were modelled as a level by image plus linear effects of batch images. The limit of disturbance was the same at the peak of a load and at its trough.

Change: the model adds up pressures, with tail = idle tail / (1 - pressure). Each serving task has its own estimate of what its users cause; slopes by pair of images are learned from what is left. Placement and pace use the task's own pressure of the moment. Reports that overlap with the last window of half a second are passed over.

Ruled out: one level by image that follows time (readings of one image differ by 0.15 rms at the same moment).

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -51,6 +51,7 @@
     task.phase = TaskPhase::Waiting;
     task.percent = 0;
     task.load = 0;
+    task.ownPressure = {};
     task.pace = 100;
 }
 
@@ -474,7 +475,7 @@
         takeActive(dispatcher, *state, active, now);
     }
     loseUnlisted(dispatcher, *state, report, sentAt, fenced, now);
-    learnFromHost(dispatcher.fleet, *state);
+    learnFromHost(dispatcher.fleet, *state, now);
     adjustPace(dispatcher.fleet, *state, now);
     orderPaces(dispatcher.fleet, *state, dispatcher.paces);
     state->reported = true;
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -126,6 +126,7 @@
     host.hasUnknownRun = false;
     host.servingUse.clear();
     host.backfillUse.clear();
+    host.ownPressures.clear();
 }
 
 } // namespace acaciadeal
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -47,6 +47,8 @@
     TimePoint progressedAt;
     /// Tail or processors in use, as in PresentRun.
     double load = 0;
+    /// Of a serving task.
+    OwnPressure ownPressure;
     /// Speed in percent that was ordered last.
     int pace = 100;
     /// Not started again before this time.
@@ -112,6 +114,8 @@
     /// Committed processors of serving tasks, and processors of backfill tasks, by image.
     ImageUse servingUse;
     ImageUse backfillUse;
+    /// Highest pressure of the own users of a serving task, by image, as of the last report.
+    std::vector<std::pair<ImageId, double>> ownPressures;
     /// Sizes of listed runs that no task needs; they occupy the host until they are gone.
     Resources strays;
     /// Whether a listed run belongs to a job that is not known, so that its size is not.
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -12,13 +12,15 @@
 
 using nlohmann::json;
 
-/// Tail-to-target ratio to which backfill tasks are slowed. The figure is rough and half a second
-/// old, and the load of the serving task itself swings.
-constexpr double wantedRatio = 0.9;
+/// Tail of an idle serving task as a share of its target; targets leave this room for load.
+constexpr double idleTail = 0.2;
+/// Pressure to which backfill tasks are slowed: that of a tail at 0.85 of its target. The figure is
+/// rough and half a second old, and the load of the serving task itself swings.
+constexpr double wantedPressure = 1.0 - idleTail / 0.85;
 /// Largest step up, in percent; down goes at once.
 constexpr int speedUpPercent = 25;
-/// Contribution to a ratio below which slowing is pointless.
-constexpr double minContribution = 0.03;
+/// Pressure below which slowing is pointless.
+constexpr double minContribution = 0.02;
 /// A change shows in the tail only after its averaging window of half a second.
 constexpr Duration settleTime = milliseconds(600);
 /// A pace below this percentage is not worth its processor time; the tasks pause instead.
@@ -27,24 +29,27 @@
 constexpr int minPaceStep = 8;
 
 /// Assumed slope of a pair that was never seen; with the caution below, a task on a tenth of a host
-/// adds a tenth.
-constexpr Estimate unknownSlope{.value = 1.5, .variance = 1.0};
-constexpr Estimate unknownBase{.value = 0.4, .variance = 0.05};
-/// Variance of an observed ratio: the load of a serving task swings by half within seconds.
-constexpr double observationVariance = 0.09;
-/// Growth of a parameter's variance by observation, so that the model follows changes.
-constexpr double drift = 1e-5;
+/// adds 0.07.
+constexpr Estimate unknownSlope{.value = 1.0, .variance = 0.4};
+/// Assumed pressure of a task's own users: loads lie between 0.2 and 0.7.
+constexpr Estimate unknownOwn{.value = 0.45, .variance = 0.025};
+/// Variance of an observed pressure that the model does not explain.
+constexpr double observationVariance = 0.002;
+/// Growth of the variance of a task's own pressure in a second: loads swing by half within seven.
+constexpr double ownDrift = 0.007;
+/// Growth of a slope's variance by observation, so that the model follows changes.
+constexpr double slopeDrift = 1e-4;
+/// Reported tails are taken over this time, so that reports in between repeat each other.
+constexpr Duration tailWindow = milliseconds(450);
 /// Standard deviations below the estimate that are assumed.
 constexpr double caution = 0.5;
-/// Higher ratios say no more than that the host is far beyond its knee.
-constexpr double maxObservedRatio = 3.0;
 /// Time over the target after which the model is no longer trusted. Users feel a tail that is over
 /// its target for 4 s; reports, orders and the averaging window of the tail take 2 s of that.
 constexpr Duration trustedFor = milliseconds(800);
 /// Ratio below which a pause ends.
 constexpr double pauseEndsBelow = 0.85;
-/// Smallest contribution to a ratio for which a backfill task is slowed.
-constexpr double disturbingSlope = 0.3;
+/// Smallest slope for which a backfill task is slowed.
+constexpr double disturbingSlope = 0.15;
 
 double capacityOf(const FleetHost &host)
 {
@@ -76,7 +81,7 @@
     return use;
 }
 
-/// Part of a serving image's tail ratio that backfill tasks with this use cause.
+/// Pressure on a serving image that backfill tasks with this use cause.
 double contributionOf(const InterferenceModel &model, ImageId serving, const ImageUse &use,
                       double capacity)
 {
@@ -87,6 +92,25 @@
     return contribution;
 }
 
+/// Raises the image's entry to @p value.
+void raise(std::vector<std::pair<ImageId, double>> &highest, ImageId image, double value)
+{
+    const auto it = std::find_if(highest.begin(), highest.end(),
+                                 [image](const auto &entry) { return entry.first == image; });
+    if (it == highest.end()) {
+        highest.emplace_back(image, value);
+    } else {
+        it->second = std::max(it->second, value);
+    }
+}
+
+double ownPressureOf(const FleetHost &host, ImageId serving)
+{
+    const auto it = std::find_if(host.ownPressures.begin(), host.ownPressures.end(),
+                                 [serving](const auto &entry) { return entry.first == serving; });
+    return it == host.ownPressures.end() ? unknownOwn.value : it->second;
+}
+
 } // namespace
 
 void addUse(ImageUse &use, ImageId image, double milliCores)
@@ -105,8 +129,7 @@
 
 ImageId imageId(InterferenceModel &model, const std::string &image)
 {
-    if (model.base.empty()) {
-        model.base.assign(maxImages, unknownBase);
+    if (model.slope.empty()) {
         model.slope.assign(maxImages * maxImages, unknownSlope);
     }
     const std::size_t next = std::min(model.names.size(), maxImages - 1);
@@ -119,27 +142,43 @@
     return std::max(0.0, slope.value - caution * std::sqrt(slope.variance));
 }
 
-void observeTail(InterferenceModel &model, ImageId serving, double tailRatio, const ImageUse &use,
-                 double capacity)
+double pressureOf(double tailRatio)
+{
+    return 1.0 - idleTail / std::max(tailRatio, idleTail);
+}
+
+void observeTail(InterferenceModel &model, ImageId serving, OwnPressure &own, double tailRatio,
+                 const ImageUse &use, double capacity, TimePoint now)
 {
-    Estimate &base = model.base[serving];
-    double expected = base.value;
-    double variance = base.variance + observationVariance;
+    if (own.observedAt == TimePoint{}) {
+        own.estimate = unknownOwn;
+    } else if (now - own.observedAt < tailWindow) {
+        return;
+    } else {
+        const double seconds = std::chrono::duration<double>(now - own.observedAt).count();
+        own.estimate.variance =
+            std::min(own.estimate.variance + ownDrift * seconds, unknownOwn.variance);
+    }
+    own.observedAt = now;
+    double expected = own.estimate.value;
+    double variance = own.estimate.variance + observationVariance;
     for (const auto &[image, milliCores] : use) {
         const Estimate &slope = model.slope[serving * maxImages + image];
         const double share = milliCores / capacity;
         expected += slope.value * share;
         variance += slope.variance * share * share;
     }
-    const double error = std::min(tailRatio, maxObservedRatio) - expected;
+    const double error = pressureOf(tailRatio) - expected;
     const auto update = [error, variance](Estimate &estimate, double input) {
         const double gain = estimate.variance * input / variance;
         estimate.value += gain * error;
-        estimate.variance += drift - gain * input * estimate.variance;
+        estimate.variance -= gain * input * estimate.variance;
     };
-    update(base, 1.0);
+    update(own.estimate, 1.0);
     for (const auto &[image, milliCores] : use) {
-        update(model.slope[serving * maxImages + image], milliCores / capacity);
+        Estimate &slope = model.slope[serving * maxImages + image];
+        update(slope, milliCores / capacity);
+        slope.variance += slopeDrift;
     }
 }
 
@@ -149,13 +188,8 @@
     for (const auto &[name, id] : model.names) {
         names[id] = name;
     }
-    json base = json::array();
     json slopes = json::array();
     for (std::size_t serving = 0; serving < names.size(); ++serving) {
-        const Estimate &own = model.base[serving];
-        if (own.variance < unknownBase.variance) {
-            base.push_back({serving, own.value, own.variance});
-        }
         for (std::size_t other = 0; other < names.size(); ++other) {
             const Estimate &slope = model.slope[serving * maxImages + other];
             if (slope.variance < unknownSlope.variance) {
@@ -163,7 +197,7 @@
             }
         }
     }
-    return json{{"images", names}, {"base", std::move(base)}, {"slope", std::move(slopes)}}.dump();
+    return json{{"images", names}, {"slope", std::move(slopes)}}.dump();
 }
 
 Result<void> decodeModel(const std::string &text, InterferenceModel &model)
@@ -174,10 +208,6 @@
         for (const json &name : j.at("images")) {
             ids.push_back(imageId(model, name.get<std::string>()));
         }
-        for (const json &entry : j.at("base")) {
-            model.base[ids.at(entry.at(0).get<std::size_t>())] = {
-                .value = entry.at(1).get<double>(), .variance = entry.at(2).get<double>()};
-        }
         for (const json &entry : j.at("slope")) {
             const ImageId serving = ids.at(entry.at(0).get<std::size_t>());
             const ImageId other = ids.at(entry.at(1).get<std::size_t>());
@@ -190,33 +220,44 @@
     }
 }
 
-void learnFromHost(FleetState &fleet, FleetHost &host)
+void learnFromHost(FleetState &fleet, FleetHost &host, TimePoint now)
 {
     const ImageUse use = reportedUse(fleet, host);
     const double capacity = capacityOf(host);
     double highest = 0;
-    forEachRunning(fleet, host, [&](ImageId image, const StepSpec &step, const TaskRuntime &task) {
-        const auto target = static_cast<double>(step.tailTarget.count());
-        if (target <= 0 || task.percent < 100 || task.load <= 0) {
-            return;
+    host.ownPressures.clear();
+    for (const auto &[key, run] : host.runs) {
+        TaskRuntime *const task = findTask(fleet, key);
+        const JobRuntime *const job = findJob(fleet, key.job);
+        if (task == nullptr || job == nullptr || task->phase != TaskPhase::Running) {
+            continue;
         }
-        const double ratio = task.load / target;
-        observeTail(fleet.interference, image, ratio, use, capacity);
+        const auto target = static_cast<double>(job->spec.steps[key.step].tailTarget.count());
+        if (target <= 0 || task->percent < 100 || task->load <= 0) {
+            continue;
+        }
+        const double ratio = task->load / target;
+        const ImageId image = job->steps[key.step].image;
+        observeTail(fleet.interference, image, task->ownPressure, ratio, use, capacity, now);
+        raise(host.ownPressures, image, task->ownPressure.estimate.value);
         highest = std::max(highest, ratio);
-    });
+    }
     host.tailRatio = highest;
 }
 
-double disturbanceWith(const FleetState &fleet, const FleetHost &host, ImageId image,
-                       double milliCores)
+double pressureWith(const FleetState &fleet, const FleetHost &host, ImageId image,
+                    double milliCores)
 {
     const double capacity = capacityOf(host);
     double highest = 0;
     for (const auto &[serving, cores] : host.servingUse) {
+        const double added = slopeOf(fleet.interference, serving, image) * milliCores / capacity;
+        if (added < minContribution) {
+            continue;
+        }
         const double present =
             contributionOf(fleet.interference, serving, host.backfillUse, capacity);
-        highest = std::max(
-            highest, present + slopeOf(fleet.interference, serving, image) * milliCores / capacity);
+        highest = std::max(highest, ownPressureOf(host, serving) + present + added);
     }
     return highest;
 }
@@ -258,19 +299,16 @@
     if (now - host.paceChangedAt < settleTime) {
         return;
     }
-    const ImageUse used = reportedUse(fleet, host);
     const double capacity = capacityOf(host);
     double wanted = 100;
     forEachRunning(fleet, host, [&](ImageId image, const StepSpec &step, const TaskRuntime &task) {
-        const auto target = static_cast<double>(step.tailTarget.count());
-        if (target <= 0) {
+        if (step.tailTarget.count() <= 0 || task.ownPressure.observedAt == TimePoint{}) {
             return;
         }
-        const double own =
-            task.load / target - contributionOf(fleet.interference, image, used, capacity);
+        const double own = task.ownPressure.estimate.value;
         const double full = contributionOf(fleet.interference, image, host.backfillUse, capacity);
         if (full >= minContribution) {
-            wanted = std::min(wanted, 100.0 * std::max(wantedRatio - own, 0.0) / full);
+            wanted = std::min(wanted, 100.0 * std::max(wantedPressure - own, 0.0) / full);
         }
     });
     int pace = std::min(static_cast<int>(wanted), host.pace + speedUpPercent);
--- a/packages/dispatch/interference.h
+++ b/packages/dispatch/interference.h
@@ -36,28 +36,40 @@
 void addUse(ImageUse &use, ImageId image, double milliCores);
 
 /// How tasks that serve their own users are disturbed by backfill tasks beside them, by pairs of
-/// images, as learned from reported tails. A tail is taken as a share of its target; its model is
-/// base(serving image) + sum over backfill images of slope(serving, backfill) * share of the host's
-/// processors that they use. Each parameter follows a scalar Kalman filter.
+/// images, as learned from reported tails. A tail grows like that of a queue, with 1 / (1 -
+/// pressure), and pressures add up: the load of the task's own users, which swings by half within
+/// seconds and is followed task by task, and for each backfill image its slope * the share of the
+/// host's processors that it uses. Each parameter follows a scalar Kalman filter.
 struct InterferenceModel
 {
     std::map<std::string, ImageId> names;
-    std::vector<Estimate> base;
     /// Row: serving image; column: backfill image.
     std::vector<Estimate> slope;
 };
 
+/// Pressure on a serving task from its own users.
+struct OwnPressure
+{
+    Estimate estimate;
+    /// Time of the last observation; unset before the first.
+    TimePoint observedAt;
+};
+
+/// Returns the pressure, from 0 to below 1, that makes a tail this multiple of its target.
+double pressureOf(double tailRatio);
+
 /// Returns the short name of @p image, and gives it one if it has none.
 ImageId imageId(InterferenceModel &model, const std::string &image);
 
-/// Returns what one backfill image adds to the tail ratio of a serving image for each share of the
+/// Returns what one backfill image adds to the pressure on a serving image for each share of the
 /// host that it uses. Where little is known the low end of the likely range is taken, so that pairs
 /// are tried and learned. Precondition: both come from imageId().
 double slopeOf(const InterferenceModel &model, ImageId serving, ImageId backfill);
 
-/// Takes in one observation: the tail ratio, and the use of a host with @p capacity.
-void observeTail(InterferenceModel &model, ImageId serving, double tailRatio, const ImageUse &use,
-                 double capacity);
+/// Takes in one observation of a serving task: its tail ratio, and the use of a host with
+/// @p capacity. Reports that overlap with the last observation are passed over.
+void observeTail(InterferenceModel &model, ImageId serving, OwnPressure &own, double tailRatio,
+                 const ImageUse &use, double capacity, TimePoint now);
 
 /// Text form of what was learned, for the next holder. decodeModel() adds it to @p model and fails
 /// with CorruptSnapshot on anything else.
@@ -65,14 +77,15 @@
 Result<void> decodeModel(const std::string &text, InterferenceModel &model);
 
 /// Takes the tails of the host's serving tasks from their last reported loads.
-void learnFromHost(FleetState &fleet, FleetHost &host);
+void learnFromHost(FleetState &fleet, FleetHost &host, TimePoint now);
 
-/// Returns the largest part of a serving task's tail ratio on @p host that backfill tasks would
-/// cause if one with @p image and @p milliCores were added; 0 if nothing serves there.
-double disturbanceWith(const FleetState &fleet, const FleetHost &host, ImageId image,
-                       double milliCores);
+/// Returns the highest pressure on a serving task of @p host that is disturbed by a backfill task
+/// with @p image and @p milliCores, if that is added: from its own users, the backfill tasks there
+/// and the new one; 0 if nothing there is disturbed by it.
+double pressureWith(const FleetState &fleet, const FleetHost &host, ImageId image,
+                    double milliCores);
 
-/// The same for the new task alone.
+/// Returns what the new task alone adds to the pressure.
 double disturbanceOf(const FleetState &fleet, const FleetHost &host, ImageId image,
                      double milliCores);
 
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -73,12 +73,12 @@
     if (idle < minBackfillShare * need) {
         return std::nullopt;
     }
-    const double disturbance = disturbanceWith(fleet, host, image, std::min(idle, need));
-    if (disturbance > maxDisturbance && !mayDisturb) {
+    const double pressure = pressureWith(fleet, host, image, std::min(idle, need));
+    if (pressure > maxPressure && !mayDisturb) {
         return std::nullopt;
     }
-    return 2.0 - opennessWeight * host.openness + std::min(1.0, idle / need)
-           - disturbance / maxDisturbance + idle / capacity;
+    return 2.0 - opennessWeight * host.openness + std::min(1.0, idle / need) - pressure
+           + idle / capacity;
 }
 
 /// Returns how well @p host suits; nothing if it has no room.
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -11,9 +11,12 @@
 /// Part of a backfill task's processors that a host must have left. Below it a task runs slower
 /// than it would by waiting for one of the tasks there to end.
 inline constexpr double minBackfillShare = 0.7;
-/// Part of a tail's target that backfill tasks may cause together. Serving tasks alone reach 0.88
-/// of it at the peaks of their load.
-inline constexpr double maxDisturbance = 0.15;
+/// Pressure on a serving task, from its own users and from batch tasks, up to which batch tasks
+/// that disturb it are placed beside it: its tail is then at two thirds of its target, and the load
+/// of its users may rise by a tenth while they run.
+inline constexpr double maxPressure = 0.7;
+/// Pressure from one batch task above which a host does not count as room for its image.
+inline constexpr double maxDisturbance = 0.12;
 
 /// Returns whether any host, however busy, could ever run a task of @p step.
 bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step);
