Judge hosts by the progress of their tasks

Cause: a host that lets everything stand still, or runs several times slower, answers renewals like the others, so its lease never lapses. Its tasks waited for as long as that lasted, without a bound.

Change: a run lags when it takes four times as long, by its progress, as the shortest run of a sibling (six times the declared time if there is none). Runs that were slowed by us, resumed or adopted are not judged.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher.h"
 
+#include "dispatch/hostprogress.h"
 #include "dispatch/interference.h"
 #include "dispatch/placement.h"
 #include "dispatch/waitorder.h"
@@ -53,6 +54,8 @@
     task.load = 0;
     task.ownPressure = {};
     task.pace = 100;
+    task.wasPaced = false;
+    task.isWhole = false;
 }
 
 void endJob(Dispatcher &dispatcher, JobRuntime &job, JobState outcome, const std::string &reason,
@@ -185,6 +188,9 @@
     }
     if (ended.end == RunEnd::Done && !stepOf(*job, ended.task).longRunning) {
         judgeHost(dispatcher, host, false, now);
+        if (current && task->isWhole && !task->wasPaced) {
+            noteRunTime(job->steps[ended.task.step], now - task->since);
+        }
         completeTask(dispatcher, *job, ended.task, *task, now);
     } else if (ended.end == RunEnd::Failed) {
         // A job that fails everywhere says nothing about the host.
@@ -322,10 +328,20 @@
     });
 }
 
+/// Stops runs that are to go on elsewhere; their tasks wait again once the host lists the end.
+void stopRelocating(Dispatcher &dispatcher, Orders &orders, TimePoint now)
+{
+    std::erase_if(dispatcher.fleet.relocating, [&](const TaskKey &key) {
+        TaskRuntime *const task = findTask(dispatcher.fleet, key);
+        return task == nullptr || !stopTask(dispatcher, key, *task, orders, now);
+    });
+}
+
 void startTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
                FleetHost &host, Orders &orders, TimePoint now)
 {
     task.run = std::max(task.run, dispatcher.fleet.runBase) + 1;
+    task.isWhole = task.checkpoint.empty();
     task.phase = TaskPhase::Starting;
     task.host = host.id;
     task.since = now;
@@ -475,6 +491,7 @@
         takeActive(dispatcher, *state, active, now);
     }
     loseUnlisted(dispatcher, *state, report, sentAt, fenced, now);
+    judgeProgress(dispatcher, *state, now);
     learnFromHost(dispatcher.fleet, *state, now);
     adjustPace(dispatcher.fleet, *state, now);
     orderPaces(dispatcher.fleet, *state, dispatcher.paces);
@@ -557,6 +574,7 @@
     orders.stops = std::move(dispatcher.strayStops);
     dispatcher.strayStops.clear();
     stopEndedJobs(dispatcher, orders, now);
+    stopRelocating(dispatcher, orders, now);
     updateUrgentDemand(dispatcher.fleet, now);
     rateOpenness(dispatcher.fleet);
     NoRoomMemo noRoom;
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -51,6 +51,10 @@
     OwnPressure ownPressure;
     /// Speed in percent that was ordered last.
     int pace = 100;
+    /// Whether this run was ever slowed by us.
+    bool wasPaced = false;
+    /// Whether this run did its whole work under this holder: neither resumed nor adopted.
+    bool isWhole = false;
     /// Not started again before this time.
     TimePoint notBefore;
     /// Host on which the task failed last.
@@ -65,6 +69,8 @@
     std::uint32_t waiting = 0;
     /// Whether all steps that it depends on are done.
     bool open = false;
+    /// Shortest run of a task that was done; 0 before the first.
+    Duration shortestRun{0};
 };
 
 struct JobRuntime
@@ -158,6 +164,8 @@
     std::vector<JobRuntime *> live;
     /// Jobs in a terminal state of which a run may still be present.
     std::set<JobId> stopping;
+    /// Tasks of live jobs whose runs are stopped in order to start elsewhere.
+    std::set<TaskKey> relocating;
     /// Jobs whose progress differs from its row.
     std::set<JobId> dirty;
     /// Runs of this holder are numbered from here.
--- /dev/null
+++ b/packages/dispatch/hostprogress.cpp
@@ -0,0 +1,73 @@
+#include "dispatch/hostprogress.h"
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace acaciadeal {
+namespace {
+
+/// Sound tasks of a step take up to three times as long as the shortest of them.
+constexpr double lagFactor = 4.0;
+/// Declared run times are off by up to two and a half.
+constexpr double declaredLagFactor = 6.0;
+/// Time before a run is judged: two reports, so that its progress is known.
+constexpr Duration minElapsed = milliseconds(900);
+/// A job alone may be slow, unevenly sized or wrongly declared.
+constexpr std::size_t jobsAsEvidence = 2;
+
+} // namespace
+
+void noteRunTime(StepRuntime &step, Duration runTime)
+{
+    step.shortestRun =
+        step.shortestRun == Duration(0) ? runTime : std::min(step.shortestRun, runTime);
+}
+
+bool isLagging(const StepSpec &spec, const StepRuntime &step, const TaskRuntime &task,
+               TimePoint now)
+{
+    // A slowed batch task lags because it was told to, and the start of a run that was adopted is
+    // not known.
+    const bool judged =
+        task.phase == TaskPhase::Running && !spec.longRunning && !task.wasPaced && task.isWhole;
+    const Duration elapsed = now - task.since;
+    if (!judged || elapsed < minElapsed) {
+        return false;
+    }
+    const bool hasSibling = step.shortestRun > Duration(0);
+    const Duration normal = hasSibling ? step.shortestRun : Duration(spec.estimatedRunTime);
+    const double factor = hasSibling ? lagFactor : declaredLagFactor;
+    const double share = std::max(task.percent, 1) / 100.0;
+    return normal > Duration(0) && elapsed > factor * share * normal
+           && elapsed > factor * 0.25 * normal;
+}
+
+void judgeProgress(Dispatcher &dispatcher, FleetHost &host, TimePoint now)
+{
+    std::set<JobId> jobs;
+    std::vector<TaskKey> lagging;
+    for (const auto &[key, run] : host.runs) {
+        const JobRuntime *const job = findJob(dispatcher.fleet, key.job);
+        const TaskRuntime *const task = findTask(dispatcher.fleet, key);
+        if (job != nullptr && task != nullptr && task->host == host.id
+            && isLagging(job->spec.steps[key.step], job->steps[key.step], *task, now)) {
+            jobs.insert(key.job);
+            lagging.push_back(key);
+        }
+    }
+    if (jobs.size() < jobsAsEvidence) {
+        return;
+    }
+    if (now >= host.avoidUntil) {
+        dispatcher.findings.push_back({.kind = Finding::Kind::HostAvoided,
+                                       .host = host.id,
+                                       .reason = std::to_string(lagging.size()) + " tasks of "
+                                                 + std::to_string(jobs.size())
+                                                 + " jobs make too little progress"});
+    }
+    host.avoidUntil = std::max(host.avoidUntil, now + dispatcher.options.probation);
+    dispatcher.fleet.relocating.insert(lagging.begin(), lagging.end());
+}
+
+} // namespace acaciadeal
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -341,6 +341,7 @@
         const int pace = disturbs ? host.pace : 100;
         if (task->pace != pace) {
             task->pace = pace;
+            task->wasPaced = true;
             orders.push_back({host.id, key, run, pace});
         }
     }
