Stop within the platform's grace, and wait 0.2 s for the answer to a start

A start order without an answer held its task for 0.4 s before the host was asked, most of the slack of a short task.

Change: all of a shutdown shares 5.5 s. Start orders time out after 0.2 s; the fenced question to the host then tells whether the run is there.

The bound of the shutdown is checked by the fault soak.

--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -26,9 +26,9 @@
 /// Time in which a daemon that shuts down still serves: the balancer probes every second and drops
 /// a daemon after two misses.
 constexpr Duration lingerTime = milliseconds(2500);
-/// Longest wait for the last answers; with the linger below the platform's grace of 6 s.
-constexpr Duration drainTimeout = milliseconds(2500);
 constexpr Duration releaseTimeout = milliseconds(1500);
+/// Time for everything between SIGTERM and the end; the platform kills what is there after 6 s.
+constexpr Duration stopBudget = milliseconds(5500);
 /// Callbacks of a holder that lost the shard end within this time: the longest timeout of a call.
 constexpr Duration retireTime = std::chrono::seconds(10);
 /// A longer lease is not worth its price: the tasks of a host that vanished wait for it. Cuts of a
@@ -301,7 +301,7 @@
         }
     });
     const Duration spent = bootNow() - begun;
-    waitFor(impl.loop, lingerTime + drainTimeout, [&impl, spent](std::function<void()> done) {
+    waitFor(impl.loop, stopBudget - spent, [&impl, spent](std::function<void()> done) {
         impl.loop.postAfter(std::max(lingerTime - spent, Duration(0)),
                             [&impl, done = std::move(done)] { impl.callers->drain(done); });
     });
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -477,7 +477,9 @@
                                     {"run", std::to_string(order.run)},
                                     {"host", order.host.value},
                                     {"resumed", order.checkpoint.empty() ? "no" : "yes"}});
-    env.hosts.start(callFor(link), order, *leaseUntil,
+    HostCall call = callFor(link);
+    call.timeout = std::min(options.startTimeout, options.hostTimeout);
+    env.hosts.start(call, order, *leaseUntil,
                     guarded([this, order](StartOutcome outcome, const std::string &detail) {
                         const TimePoint answeredAt = bootNow();
                         if (outcome != StartOutcome::Started) {
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -33,6 +33,9 @@
     milliseconds sharedRenewalWait{450};
     /// Time for a host to answer beyond the wait; about 100 times an ordinary answer.
     Duration hostTimeout = milliseconds(400);
+    /// Time for a host to answer a start order. A lost answer costs no more than a question to the
+    /// host, while the task waits, and short tasks have 0.5 s of slack in all.
+    Duration startTimeout = milliseconds(200);
     /// Delay before a host that did not answer is asked again.
     Duration hostRetry = milliseconds(200);
     /// Time for which progress is gathered before it is written; bounds the store's calls.
