Acknowledge each end to a host once

A host that restarts under its id counts its ends from 1. If the holder had not noticed yet, a task that was started and done in the new life was forgotten by the repeated number of the life before, and ran again.

Change: a number is sent until a renewal with it is answered, and then not again; after a failed call nothing is acknowledged until the host has said which life it is in.

Ruled out: a start by two holders (one epoch in the log), and a late order (none was set at that host).

Left: a host that restarts between its answer and the first acknowledgement of ends in it, which is a few milliseconds.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -473,3 +473,38 @@
     CHECK(eventually(rivals.loop, [&] { return rivals.daemons[1]->mayAct(); }));
     CHECK_FALSE(rivals.mayAct(0));
 }
+
+// Guards against work that is done twice: a host restarts unnoticed, ends a task, and a repeated
+// acknowledgement of its former life makes it forget that end. Found by the fault soak, seed 17.
+TEST_CASE("an end of a new life is not acknowledged by a number of the life before")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.hold(1);
+    const auto isCompleted = [&](const std::string &id) {
+        return eventually(cluster.loop, [&] {
+            const JobRuntime *const job = findJob(holder.dispatcher().fleet, {id});
+            return job != nullptr && stateOf(*job) == JobState::Completed;
+        });
+    };
+    for (const std::string id : {"first", "second"}) {
+        cluster.submit(oneTask(id));
+        REQUIRE(cluster.runs(id));
+        onLoop(cluster.loop, [&] {
+            cluster.hosts.end("h0", taskOf(id), RunEnd::Done);
+            return true;
+        });
+        REQUIRE(isCompleted(id));
+    }
+    REQUIRE(eventually(cluster.loop, [&] { return cluster.hosts.host("h0").ended.empty(); }));
+    cluster.submit(oneTask("late"));
+    REQUIRE(cluster.runs("late"));
+    onLoop(cluster.loop, [&] {
+        FakeHost &host = cluster.hosts.host("h0");
+        host.bornAt = milliseconds(2);
+        host.ends = 0;
+        cluster.hosts.end("h0", taskOf("late"), RunEnd::Done);
+        return true;
+    });
+    CHECK(isCompleted("late"));
+    CHECK(cluster.startsOf("late") == 1);
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -303,7 +303,9 @@
     }
     RenewalCall renewal{.wait = wait};
     const FleetHost *const host = findHost(dispatcher.fleet, link.id);
-    if (host != nullptr) {
+    // Each end is acknowledged once: a new life of the host counts its ends from 1, and would take
+    // a repeated number for the acknowledgement of ends that nobody has read.
+    if (host != nullptr && link.failures == 0 && host->durableEnd > link.acknowledgedEnd) {
         renewal.acknowledged = host->durableEnd;
     }
     // A silent host gets no further lease: its runs could never be given up otherwise.
@@ -316,11 +318,16 @@
     link.renewing = true;
     const std::uint64_t sequence = ++link.sequence;
     const HostCall call = callFor(link);
-    env.hosts.renew(call, renewal,
-                    guarded([this, id = link.id, sequence, token = call.token,
-                             now](const Result<HostReport> &report) {
-                        onReport(id, sequence, token, now, report);
-                    }));
+    env.hosts.renew(
+        call, renewal,
+        guarded([this, id = link.id, sequence, token = call.token,
+                 acknowledged = renewal.acknowledged, now](const Result<HostReport> &report) {
+            const auto it = links.find(id);
+            if (report && it != links.end() && sequence == it->second.sequence) {
+                it->second.acknowledgedEnd = std::max(it->second.acknowledgedEnd, acknowledged);
+            }
+            onReport(id, sequence, token, now, report);
+        }));
 }
 
 void FleetHolder::Impl::onReport(const HostId &id, std::uint64_t sequence, std::uint64_t token,
@@ -385,6 +392,7 @@
     loseRuns(dispatcher, host.id, reason, now);
     host.seenEnd = 0;
     host.durableEnd = 0;
+    link.acknowledgedEnd = 0;
     host.reported = false;
     // Orders to the former life that are still on their way must not take effect in this one.
     ++link.bump;
--- a/packages/fleet/internal/hostlink.h
+++ b/packages/fleet/internal/hostlink.h
@@ -33,6 +33,8 @@
     /// A renewal that failed or waits for a write goes out again at this time.
     TimePoint nextAt;
     int failures = 0;
+    /// Highest end number of which the host has answered the acknowledgement.
+    std::uint64_t acknowledgedEnd = 0;
     /// Whether an order got no answer since the last fenced report.
     bool uncertain = false;
 };
