Add a fault soak with daemons as processes

fleet_soak runs daemons against stand-ins of the store and the hosts that speak the users' protocol, behind loopback proxies. It stops the daemons in turn under load, then kills, pauses and stops them, cuts, delays, resets and silences links, lets the store refuse, lose or delay writes and drop its history, and lets hosts crash, stand still and carry out orders late, in series that overlap. Clocks of every third host are 2% slow. It checks from what callers and hosts see: no two runs of a task, nothing after a done end, order of steps, capacity, attempts, refused jobs, cancelled jobs, accepted jobs known and ended, no answer cut off by a planned stop, and the end of a process within 6 s of SIGTERM.

--- /dev/null
+++ b/tests/soak/proxy.cpp
@@ -0,0 +1,193 @@
+#include "soak/proxy.h"
+
+#include "http/listener.h"
+#include "runtime/eventloop.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <stdexcept>
+#include <vector>
+
+namespace acaciadeal::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Period in which a held connection looks whether the fault has ended.
+constexpr Duration holdPoll = milliseconds(20);
+
+struct Connection
+{
+    explicit Connection(asio::io_context &context)
+        : client(context)
+        , server(context)
+    {
+    }
+    void close()
+    {
+        boost::system::error_code ec;
+        client.close(ec);
+        server.close(ec);
+    }
+
+    tcp::socket client;
+    tcp::socket server;
+    bool silent = false;
+};
+
+} // namespace
+
+struct Proxy::Impl : std::enable_shared_from_this<Proxy::Impl>
+{
+    Impl(EventLoop &eventLoop, Endpoint endpoint)
+        : context(eventLoop.context())
+        , target(std::move(endpoint))
+        , acceptor(context)
+    {
+    }
+
+    struct Pump
+    {
+        std::shared_ptr<Connection> connection;
+        tcp::socket *from;
+        tcp::socket *to;
+        bool toServer = false;
+        std::array<char, 16384> buffer{};
+        std::size_t size = 0;
+    };
+
+    void accept();
+    void connect(const std::shared_ptr<Connection> &connection);
+    void read(const std::shared_ptr<Pump> &pump);
+    void forward(const std::shared_ptr<Pump> &pump, Duration after);
+
+    asio::io_context &context;
+    Endpoint target;
+    tcp::acceptor acceptor;
+    LinkFault fault;
+    std::vector<std::weak_ptr<Connection>> connections;
+};
+
+void Proxy::Impl::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](boost::system::error_code ec, tcp::socket socket) {
+            if (ec) {
+                return;
+            }
+            if (!self->fault.refuses) {
+                auto connection = std::make_shared<Connection>(self->context);
+                connection->client = std::move(socket);
+                self->connect(connection);
+            }
+            self->accept();
+        });
+}
+
+void Proxy::Impl::connect(const std::shared_ptr<Connection> &connection)
+{
+    std::erase_if(connections, [](const auto &entry) { return entry.expired(); });
+    connections.push_back(connection);
+    const tcp::endpoint server(asio::ip::make_address(target.address), target.port);
+    connection->server.async_connect(
+        server, [self = shared_from_this(), connection](boost::system::error_code ec) {
+            if (ec) {
+                connection->close();
+                return;
+            }
+            connection->client.set_option(tcp::no_delay(true), ec);
+            connection->server.set_option(tcp::no_delay(true), ec);
+            for (const bool toServer : {true, false}) {
+                auto pump = std::make_shared<Pump>();
+                pump->connection = connection;
+                pump->from = toServer ? &connection->client : &connection->server;
+                pump->to = toServer ? &connection->server : &connection->client;
+                pump->toServer = toServer;
+                self->read(pump);
+            }
+        });
+}
+
+void Proxy::Impl::read(const std::shared_ptr<Pump> &pump)
+{
+    pump->from->async_read_some(
+        asio::buffer(pump->buffer),
+        [self = shared_from_this(), pump](boost::system::error_code ec, std::size_t n) {
+            if (ec) {
+                pump->connection->close();
+                return;
+            }
+            pump->size = n;
+            self->forward(pump, self->fault.delay);
+        });
+}
+
+void Proxy::Impl::forward(const std::shared_ptr<Pump> &pump, Duration after)
+{
+    auto timer = std::make_shared<asio::steady_timer>(context, after);
+    timer->async_wait([self = shared_from_this(), pump, timer](boost::system::error_code) {
+        const bool held = pump->toServer ? self->fault.holdsToServer : self->fault.holdsToClient;
+        if (held) {
+            self->forward(pump, holdPoll);
+            return;
+        }
+        if (pump->connection->silent) {
+            self->read(pump);
+            return;
+        }
+        asio::async_write(*pump->to, asio::buffer(pump->buffer.data(), pump->size),
+                          [self, pump](boost::system::error_code ec, std::size_t) {
+                              if (ec) {
+                                  pump->connection->close();
+                                  return;
+                              }
+                              self->read(pump);
+                          });
+    });
+}
+
+Proxy::Proxy(EventLoop &loop, Endpoint target)
+    : m_impl(std::make_shared<Impl>(loop, std::move(target)))
+{
+    if (auto opened = openListener(m_impl->acceptor, {"127.0.0.1", 0}); !opened) {
+        throw std::runtime_error(opened.error().message);
+    }
+    m_impl->accept();
+}
+
+Endpoint Proxy::endpoint() const
+{
+    return {"127.0.0.1", m_impl->acceptor.local_endpoint().port()};
+}
+
+void Proxy::setFault(const LinkFault &fault)
+{
+    m_impl->fault = fault;
+}
+
+void Proxy::resetAll()
+{
+    for (const auto &entry : m_impl->connections) {
+        if (const auto connection = entry.lock()) {
+            boost::system::error_code ec;
+            // A close with this option sends a reset.
+            connection->client.set_option(asio::socket_base::linger(true, 0), ec);
+            connection->close();
+        }
+    }
+}
+
+void Proxy::silenceOpen()
+{
+    for (const auto &entry : m_impl->connections) {
+        if (const auto connection = entry.lock()) {
+            connection->silent = true;
+        }
+    }
+}
+
+} // namespace acaciadeal::soak
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,621 @@
+#include "failure/process.h"
+#include "http/httpclient.h"
+#include "runtime/eventloop.h"
+#include "soak/hoststandin.h"
+#include "soak/ledger.h"
+#include "soak/proxy.h"
+#include "soak/tablestandin.h"
+
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <getopt.h>
+#include <iostream>
+#include <sys/wait.h>
+
+using namespace acaciadeal;
+using namespace acaciadeal::soak;
+using failure_tests::Process;
+using failure_tests::ReservedPort;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *usage =
+    "Usage: fleet_soak [--seed N] [--seconds N] [--daemons N] [--hosts N] [--logs FOLDER]\n"
+    "  Runs daemons as processes against stand-ins of the store and the hosts, injects faults "
+    "from\n"
+    "  outside for the given seconds, and checks what callers and hosts see. Exit code 1 if a\n"
+    "  promise was broken.\n";
+
+struct SoakOptions
+{
+    std::uint64_t seed = 1;
+    int seconds = 20;
+    int daemons = 4;
+    int hosts = 8;
+    std::string logs;
+};
+
+/// Time within which a stopped daemon has to be gone; the platform kills it then.
+constexpr Duration grace = std::chrono::seconds(6);
+/// Time after the last fault in which accepted jobs have to finish, as users allow.
+constexpr Duration finishTime = std::chrono::seconds(14);
+constexpr Duration jobPeriod = milliseconds(120);
+constexpr Duration pollPeriod = milliseconds(600);
+constexpr Duration callTimeout = milliseconds(3000);
+constexpr int maxAttempts = 4;
+/// Attempts to hand a job in, as the users' callers make.
+constexpr int submitAttempts = 5;
+/// Time for daemons to start and hosts to be found before callers come.
+constexpr Duration leadTime = std::chrono::seconds(3);
+constexpr int rollingGapMs = 1500;
+
+struct Daemon
+{
+    std::string name;
+    ReservedPort http;
+    ReservedPort peer;
+    ReservedPort ready;
+    ReservedPort metrics;
+    std::unique_ptr<Proxy> storeLink;
+    std::unique_ptr<Process> process;
+    std::string settings;
+    std::string log;
+    bool paused = false;
+    /// When SIGTERM was sent to the present process.
+    std::optional<TimePoint> stoppingSince;
+    Endpoint endpoint() const
+    {
+        return *parseEndpoint(http.endpoint());
+    }
+};
+
+class Soak
+{
+public:
+    explicit Soak(const SoakOptions &options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_store(m_loop, m_random)
+        , m_client(m_loop, {})
+    {
+    }
+
+    /// Returns whether no promise was broken.
+    bool run();
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    int pick(int n)
+    {
+        return static_cast<int>(m_random() % static_cast<std::uint64_t>(n));
+    }
+    Duration between(int fromMs, int toMs)
+    {
+        return milliseconds(fromMs + pick(toMs - fromMs));
+    }
+    void after(Duration delay, std::function<void()> task)
+    {
+        m_loop.postAfter(delay, std::move(task));
+    }
+
+    void create();
+    void startDaemon(Daemon &daemon);
+    void watchDaemons();
+    void stopDaemon(Daemon &daemon);
+    void registerHost(std::size_t n, bool leaving);
+    void writeConfig();
+
+    void nextJob();
+    void submit(const std::string &id, int attempt);
+    void poll(const std::string &id);
+    void cancel(const std::string &id);
+    HttpRequest request(const std::string &method, const std::string &id) const;
+    /// Notes a request that was cut off; a violation if nothing but planned work is going on.
+    void noteCut(const Daemon &daemon, const std::string &id, const HttpOutcome &outcome);
+
+    void nextFault();
+    void harmDaemon();
+    void harmHost();
+    void harmStore();
+    void rollDaemons(std::size_t n);
+    void endFaults();
+    void note(const std::string &text);
+
+    SoakOptions m_options;
+    std::mt19937_64 m_random;
+    EventLoop m_loop{{.threads = 1}};
+    failure_tests::TemporaryFolder m_folder;
+    Ledger m_ledger;
+    TableStandin m_store;
+    HttpClient m_client;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::vector<std::unique_ptr<HostStandin>> m_hosts;
+    std::vector<std::unique_ptr<Proxy>> m_hostLinks;
+    TimePoint m_startedAt = Clock::now();
+    /// Whether nothing but planned work happens, so that no request may be cut off.
+    bool m_calm = true;
+    bool m_submitting = true;
+    bool m_finished = false;
+    int m_jobs = 0;
+    std::uint64_t m_configVersion = 1;
+};
+
+void Soak::note(const std::string &text)
+{
+    const auto ms = std::chrono::duration_cast<milliseconds>(Clock::now() - m_startedAt).count();
+    std::cout << ms << " ms: " << text << std::endl;
+}
+
+void Soak::create()
+{
+    writeConfig();
+    for (int n = 0; n < m_options.hosts; ++n) {
+        m_hosts.push_back(
+            std::make_unique<HostStandin>(m_loop, m_random, m_ledger,
+                                          HostOptions{.id = "h" + std::to_string(n),
+                                                      .service = "svc",
+                                                      .failureDomain = n % 2 == 0 ? "a" : "b",
+                                                      .maxAttempts = maxAttempts,
+                                                      .clockRate = n % 3 == 0 ? 0.98 : 1.0}));
+        m_hostLinks.push_back(std::make_unique<Proxy>(m_loop, m_hosts.back()->endpoint()));
+        registerHost(static_cast<std::size_t>(n), false);
+    }
+    for (int n = 0; n < m_options.daemons; ++n) {
+        auto daemon = std::make_unique<Daemon>();
+        daemon->name = "d" + std::to_string(n);
+        daemon->storeLink = std::make_unique<Proxy>(m_loop, m_store.addCaller());
+        daemon->settings = m_folder.file(daemon->name + ".json");
+        daemon->log = m_options.logs.empty() ? m_folder.file(daemon->name + ".log")
+                                             : m_options.logs + "/" + daemon->name + ".log";
+        std::ofstream(daemon->settings) << json{
+            {"daemon", daemon->name},
+            {"deployment", "soak"},
+            {"region", "r"},
+            {"failure_domain", n % 2 == 0 ? "a" : "b"},
+            {"failure_domains", {"a", "b"}},
+            {"http_listen", daemon->http.endpoint()},
+            {"peer_listen", daemon->peer.endpoint()},
+            {"platform",
+             {{"adapter", "table-store"},
+              {"endpoint", toString(daemon->storeLink->endpoint())},
+              {"timeout_ms", 1200}}},
+            {"fleet",
+             {{"adapter", "users-platform"},
+              {"max_lease_ms", 6000},
+              {"ready_listen", daemon->ready.endpoint()},
+              {"metrics_listen",
+               daemon->metrics.endpoint()}}}}.dump();
+        startDaemon(*daemon);
+        m_daemons.push_back(std::move(daemon));
+    }
+}
+
+void Soak::writeConfig()
+{
+    m_store.put("op", "config",
+                {{"version", m_configVersion},
+                 {"routes",
+                  {{{"name", "q"},
+                    {"service", "svc"},
+                    {"priority", 0},
+                    {"max_attempts", maxAttempts},
+                    {"slowdown_factor", 2.0},
+                    {"target_latency_ms", 500},
+                    {"host", "jobs.example"},
+                    {"path_prefix", "/q/"}}}}});
+    m_configVersion += 1 + m_random() % 5;
+}
+
+void Soak::registerHost(std::size_t n, bool leaving)
+{
+    m_store.put("servers", m_hosts[n]->id(), m_hosts[n]->row(m_hostLinks[n]->endpoint(), leaving));
+}
+
+void Soak::startDaemon(Daemon &daemon)
+{
+    daemon.paused = false;
+    daemon.stoppingSince.reset();
+    daemon.process = std::make_unique<Process>(
+        std::vector<std::string>{ACACIADEAL_DAEMON, "--settings", daemon.settings}, daemon.log);
+}
+
+void Soak::stopDaemon(Daemon &daemon)
+{
+    if (!daemon.process->status() && !daemon.paused && !daemon.stoppingSince) {
+        daemon.process->signal(SIGTERM);
+        daemon.stoppingSince = Clock::now();
+    }
+}
+
+/// Restarts what has ended, and checks how.
+void Soak::watchDaemons()
+{
+    if (m_finished) {
+        return;
+    }
+    for (const auto &daemon : m_daemons) {
+        const auto status = daemon->process->status();
+        const bool stopping = daemon->stoppingSince.has_value();
+        if (stopping && !daemon->paused && !status
+            && Clock::now() - *daemon->stoppingSince > grace) {
+            m_ledger.broken("STOP", daemon->name + " is not gone 6 s after SIGTERM");
+            daemon->process->kill();
+        }
+        if (!status) {
+            continue;
+        }
+        const bool killed = WIFSIGNALED(*status) && WTERMSIG(*status) == SIGKILL;
+        const bool clean = WIFEXITED(*status) && WEXITSTATUS(*status) == 0 && stopping;
+        if (!killed && !clean) {
+            m_ledger.broken("EXIT", daemon->name + " ended by itself, wait status "
+                                        + std::to_string(*status));
+        }
+        startDaemon(*daemon);
+    }
+    after(milliseconds(50), [this] { watchDaemons(); });
+}
+
+HttpRequest Soak::request(const std::string &method, const std::string &id) const
+{
+    return {.method = method,
+            .target = "/q/" + id,
+            .headers = {{"host", "jobs.example"}, {"x-acaciadeal-deadline-ms", "3000"}}};
+}
+
+void Soak::nextJob()
+{
+    if (!m_submitting) {
+        return;
+    }
+    char id[17];
+    std::snprintf(id, sizeof id, "%08x%08x", static_cast<unsigned>(m_options.seed),
+                  static_cast<unsigned>(++m_jobs));
+    JobRecord job{.payload = std::string("payload of ") + id};
+    const int steps = 1 + pick(2);
+    for (int n = 0; n < steps; ++n) {
+        job.steps.push_back(
+            {.tasks = 1 + pick(5), .milliCores = 500 + pick(2000), .runMs = 100 + pick(900)});
+    }
+    m_ledger.jobs[id] = std::move(job);
+    submit(id, 1);
+    if (pick(12) == 0) {
+        after(between(300, 2500), [this, text = std::string(id)] { cancel(text); });
+    }
+    after(jobPeriod, [this] { nextJob(); });
+}
+
+void Soak::submit(const std::string &id, int attempt)
+{
+    JobRecord &job = m_ledger.jobs[id];
+    json steps = json::array();
+    for (std::size_t n = 0; n < job.steps.size(); ++n) {
+        json step = {{"count", job.steps[n].tasks},
+                     {"cpu", job.steps[n].milliCores},
+                     {"requested_memory_mb", 100},
+                     {"estimated_ms", job.steps[n].runMs}};
+        if (n > 0) {
+            step["after"] = {n - 1};
+        }
+        steps.push_back(std::move(step));
+    }
+    HttpRequest call = request("POST", id);
+    call.body = json{{"spec", job.payload}, {"steps", steps}}.dump();
+    Daemon &daemon = *m_daemons[static_cast<std::size_t>(pick(m_options.daemons))];
+    m_client.send(daemon.endpoint(), std::move(call), {.timeout = callTimeout},
+                  [this, id, attempt, &daemon](const HttpOutcome &outcome) {
+                      JobRecord &record = m_ledger.jobs[id];
+                      const unsigned status = outcome.response ? outcome.response->status : 0;
+                      if (status == 200) {
+                          record.accepted = true;
+                          record.acceptedAt = Clock::now();
+                          poll(id);
+                          return;
+                      }
+                      const bool refused = status == 429 || status == 503
+                                           || (!outcome.response && !outcome.handedOver);
+                      record.maybeTaken = record.maybeTaken || !refused;
+                      noteCut(daemon, id, outcome);
+                      if (attempt < submitAttempts) {
+                          after(milliseconds(300),
+                                [this, id, attempt] { submit(id, attempt + 1); });
+                      }
+                  });
+}
+
+void Soak::noteCut(const Daemon &daemon, const std::string &id, const HttpOutcome &outcome)
+{
+    const bool cut = !outcome.response && outcome.handedOver
+                     && outcome.response.error().code != ResultCode::TimedOut;
+    if (cut && m_calm) {
+        m_ledger.broken("LOST", "the connection to " + daemon.name + " ended without an answer for "
+                                    + id + ": " + outcome.response.error().message);
+    }
+}
+
+void Soak::poll(const std::string &id)
+{
+    Daemon &daemon = *m_daemons[static_cast<std::size_t>(pick(m_options.daemons))];
+    m_client.send(daemon.endpoint(), request("GET", id), {.timeout = callTimeout},
+                  [this, id, &daemon](const HttpOutcome &outcome) {
+                      noteCut(daemon, id, outcome);
+                      std::string state;
+                      if (outcome.response && outcome.response->status == 200) {
+                          state = json::parse(outcome.response->body).value("state", "");
+                      } else if (outcome.response && outcome.response->status == 410) {
+                          state = "unknown";
+                      }
+                      m_ledger.onState(id, state, Clock::now());
+                      const bool over =
+                          state == "completed" || state == "failed" || state == "cancelled";
+                      if (!over && !m_finished) {
+                          after(pollPeriod, [this, id] { poll(id); });
+                      }
+                  });
+}
+
+void Soak::cancel(const std::string &id)
+{
+    m_ledger.jobs[id].cancelled = true;
+    Daemon &daemon = *m_daemons[static_cast<std::size_t>(pick(m_options.daemons))];
+    m_client.send(daemon.endpoint(), request("DELETE", id), {.timeout = callTimeout},
+                  [this, id](const HttpOutcome &outcome) {
+                      const unsigned status = outcome.response ? outcome.response->status : 0;
+                      // A job that was not accepted yet, or may be, is not known to be cancelled.
+                      if (status != 200 && !m_finished) {
+                          after(milliseconds(400), [this, id] { cancel(id); });
+                      }
+                  });
+}
+
+void Soak::harmDaemon()
+{
+    Daemon &daemon = *m_daemons[static_cast<std::size_t>(pick(m_options.daemons))];
+    switch (pick(4)) {
+    case 0:
+        note("kill " + daemon.name);
+        daemon.process->kill();
+        break;
+    case 1:
+        note("stop " + daemon.name);
+        stopDaemon(daemon);
+        break;
+    case 2:
+        if (!daemon.paused && !daemon.stoppingSince) {
+            note("pause " + daemon.name);
+            daemon.paused = true;
+            daemon.process->signal(SIGSTOP);
+            after(between(500, 6000), [this, &daemon, process = daemon.process.get()] {
+                if (daemon.process.get() == process && daemon.paused) {
+                    note("resume " + daemon.name);
+                    daemon.process->signal(SIGCONT);
+                    daemon.paused = false;
+                }
+            });
+        }
+        break;
+    default:
+        if (pick(4) == 0) {
+            note("kill all");
+            for (const auto &each : m_daemons) {
+                each->process->kill();
+            }
+        }
+    }
+}
+
+void Soak::harmHost()
+{
+    const auto n = static_cast<std::size_t>(pick(m_options.hosts));
+    HostStandin &host = *m_hosts[n];
+    Proxy &link = *m_hostLinks[n];
+    const Duration period = between(500, 6000);
+    switch (pick(7)) {
+    case 0:
+        note("crash " + host.id());
+        host.crash();
+        m_store.erase("servers", host.id());
+        after(between(200, 3000), [this, n] { registerHost(n, false); });
+        break;
+    case 1:
+        note("cut " + host.id());
+        link.setFault({.holdsToServer = true, .holdsToClient = true});
+        after(period, [&link] { link.setFault({}); });
+        break;
+    case 2:
+        note("cut one way " + host.id());
+        link.setFault({.holdsToServer = pick(2) == 0, .holdsToClient = true});
+        after(period, [&link] { link.setFault({}); });
+        break;
+    case 3:
+        note("silence connections of " + host.id());
+        link.silenceOpen();
+        break;
+    case 4:
+        note("late orders at " + host.id());
+        host.setLateOrders(0.4);
+        after(period, [&host] { host.setLateOrders(0); });
+        break;
+    case 5:
+        note("stand still " + host.id());
+        host.setStandingStill(true);
+        after(period, [&host] { host.setStandingStill(false); });
+        break;
+    default:
+        note("reset connections of " + host.id());
+        link.setFault({.delay = milliseconds(60)});
+        link.resetAll();
+        after(period, [&link] { link.setFault({}); });
+    }
+}
+
+void Soak::harmStore()
+{
+    const bool all = pick(3) == 0;
+    const int only = pick(m_options.daemons);
+    const Duration period = between(500, 6000);
+    const int kind = pick(8);
+    const char *const names[] = {"refuses",       "loses answers of",  "delays writes of",
+                                 "is slow for",   "is cut off from",   "answers do not reach",
+                                 "is silent for", "drops its history;"};
+    note(std::string("store ") + names[kind] + (all ? " all" : " d" + std::to_string(only)));
+    if (kind == 7) {
+        m_store.dropHistory();
+        return;
+    }
+    for (int n = 0; n < m_options.daemons; ++n) {
+        if (!all && n != only) {
+            continue;
+        }
+        const auto caller = static_cast<std::size_t>(n);
+        Proxy &link = *m_daemons[caller]->storeLink;
+        const StoreFault faults[] = {{.refuseWith = pick(2) == 0 ? 503U : 429U},
+                                     {.lostAnswers = 0.4},
+                                     {.lateWrites = 0.3},
+                                     {.delay = milliseconds(300)}};
+        if (kind < 4) {
+            m_store.setFault(caller, faults[kind]);
+        } else if (kind == 6) {
+            link.silenceOpen();
+        } else {
+            link.setFault({.holdsToServer = kind == 4, .holdsToClient = true});
+        }
+        after(period, [this, caller, &link] {
+            m_store.setFault(caller, {});
+            link.setFault({});
+        });
+    }
+}
+
+/// Faults come in series and overlap.
+void Soak::nextFault()
+{
+    if (!m_submitting) {
+        return;
+    }
+    const int kind = pick(10);
+    if (kind < 4) {
+        harmDaemon();
+    } else if (kind < 7) {
+        harmHost();
+    } else if (kind < 9) {
+        harmStore();
+    } else {
+        note("new configuration");
+        writeConfig();
+    }
+    after(between(100, 1400), [this] { nextFault(); });
+}
+
+void Soak::rollDaemons(std::size_t n)
+{
+    if (n == m_daemons.size()) {
+        after(grace, [this] {
+            m_calm = false;
+            nextFault();
+        });
+        return;
+    }
+    note("stop " + m_daemons[n]->name);
+    stopDaemon(*m_daemons[n]);
+    after(milliseconds(rollingGapMs), [this, n] { rollDaemons(n + 1); });
+}
+
+void Soak::endFaults()
+{
+    note("faults end");
+    m_submitting = false;
+    for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        m_store.setFault(n, {});
+        m_daemons[n]->storeLink->setFault({});
+        if (m_daemons[n]->paused) {
+            m_daemons[n]->process->signal(SIGCONT);
+            m_daemons[n]->paused = false;
+        }
+    }
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        m_hosts[n]->setLateOrders(0);
+        m_hosts[n]->setStandingStill(false);
+        m_hostLinks[n]->setFault({});
+        registerHost(n, false);
+    }
+}
+
+bool Soak::run()
+{
+    std::promise<void> finished;
+    m_loop.post([this] {
+        create();
+        watchDaemons();
+    });
+    m_loop.postAfter(leadTime, [this] {
+        nextJob();
+        rollDaemons(0);
+    });
+    const Duration rolling = leadTime + m_options.daemons * milliseconds(rollingGapMs) + grace;
+    m_loop.postAfter(rolling + std::chrono::seconds(m_options.seconds), [this, &finished] {
+        endFaults();
+        // The last faults were held up for as long as a lease lasts; then everything has to end.
+        after(grace + finishTime, [this, &finished] {
+            m_finished = true;
+            m_ledger.checkEnd();
+            for (const auto &daemon : m_daemons) {
+                daemon->process->kill();
+            }
+            finished.set_value();
+        });
+    });
+    finished.get_future().wait();
+    m_loop.stop();
+    int accepted = 0;
+    int completed = 0;
+    for (const auto &[id, job] : m_ledger.jobs) {
+        accepted += job.accepted ? 1 : 0;
+        completed += job.completed ? 1 : 0;
+    }
+    std::cout << "seed " << m_options.seed << ": " << m_ledger.jobs.size() << " jobs, " << accepted
+              << " accepted, " << completed << " completed, " << m_ledger.violations.size()
+              << " promises broken" << std::endl;
+    if (completed == 0) {
+        std::cout << "nothing was served\n";
+    }
+    return m_ledger.violations.empty() && completed > 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    SoakOptions options;
+    const option longOptions[] = {
+        {"seed", required_argument, nullptr, 's'},    {"seconds", required_argument, nullptr, 't'},
+        {"daemons", required_argument, nullptr, 'd'}, {"hosts", required_argument, nullptr, 'h'},
+        {"logs", required_argument, nullptr, 'l'},    {nullptr, 0, nullptr, 0}};
+    for (int c = 0; (c = getopt_long(argc, argv, "s:t:d:h:l:", longOptions, nullptr)) != -1;) {
+        switch (c) {
+        case 's':
+            options.seed = std::stoull(optarg);
+            break;
+        case 't':
+            options.seconds = std::stoi(optarg);
+            break;
+        case 'd':
+            options.daemons = std::stoi(optarg);
+            break;
+        case 'h':
+            options.hosts = std::stoi(optarg);
+            break;
+        case 'l':
+            options.logs = optarg;
+            break;
+        default:
+            std::cerr << usage;
+            return 2;
+        }
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    Soak soak(options);
+    return soak.run() ? 0 : 1;
+}
