Slow batch tasks less often, and look at usable hosts only

Cause: with tails as pressures the pace followed each swing.

Change: batch tasks are slowed to a tail at its target, in steps of 20%. Assumed slopes are kept instead of being computed in each search; a search visits usable hosts only; the room for long-running tasks is added up once a round instead of for each waiting task.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -349,6 +349,10 @@
     --job.steps[key.step].waiting;
     job.begun = true;
     occupy(host, job, key, task.run);
+    if (stepOf(job, key).tailTarget.count() > 0) {
+        dispatcher.fleet.spareForLongRunning -=
+            static_cast<double>(stepOf(job, key).taskSize.milliCores);
+    }
     orders.starts.push_back({host.id, key, task.run, job.spec.payload, task.checkpoint});
 }
 
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -158,6 +158,10 @@
     /// Processors that short committed tasks need, at their recent peak; see updateUrgentDemand().
     double urgentMilliCores = 0;
     TimePoint urgentDemandAt;
+    /// Usable hosts, for one round of decisions; see rateOpenness().
+    std::vector<FleetHost *> usable;
+    /// Processors that serving tasks may still take in this round; see updateUrgentDemand().
+    double spareForLongRunning = 0;
     /// Work in core-seconds of jobs that were admitted and are being stored.
     std::map<JobId, double> offered;
     /// Jobs that are not in a terminal state.
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -14,9 +14,8 @@
 
 /// Tail of an idle serving task as a share of its target; targets leave this room for load.
 constexpr double idleTail = 0.2;
-/// Pressure to which backfill tasks are slowed: that of a tail at 0.85 of its target. The figure is
-/// rough and half a second old, and the load of the serving task itself swings.
-constexpr double wantedPressure = 1.0 - idleTail / 0.85;
+/// Pressure to which backfill tasks are slowed: that of a tail at its target.
+constexpr double wantedPressure = 1.0 - idleTail;
 /// Largest step up, in percent; down goes at once.
 constexpr int speedUpPercent = 25;
 /// Pressure below which slowing is pointless.
@@ -25,8 +24,9 @@
 constexpr Duration settleTime = milliseconds(600);
 /// A pace below this percentage is not worth its processor time; the tasks pause instead.
 constexpr int minPace = 10;
-/// Smaller changes are not worth a call for each task.
-constexpr int minPaceStep = 8;
+/// Smaller changes are not worth a call for each task: at 490 hosts these were a third of all
+/// calls.
+constexpr int minPaceStep = 20;
 
 /// Assumed slope of a pair that was never seen; with the caution below, a task on a tenth of a host
 /// adds 0.07.
@@ -130,16 +130,27 @@
 ImageId imageId(InterferenceModel &model, const std::string &image)
 {
     if (model.slope.empty()) {
-        model.slope.assign(maxImages * maxImages, unknownSlope);
+        model.slope.resize(maxImages * maxImages);
+        model.assumed.resize(maxImages * maxImages);
+        for (std::size_t n = 0; n < model.slope.size(); ++n) {
+            setSlope(model, static_cast<ImageId>(n / maxImages),
+                     static_cast<ImageId>(n % maxImages), unknownSlope);
+        }
     }
     const std::size_t next = std::min(model.names.size(), maxImages - 1);
     return model.names.try_emplace(image, static_cast<ImageId>(next)).first->second;
 }
 
+void setSlope(InterferenceModel &model, ImageId serving, ImageId backfill, const Estimate &slope)
+{
+    const std::size_t n = serving * maxImages + backfill;
+    model.slope[n] = slope;
+    model.assumed[n] = std::max(0.0, slope.value - caution * std::sqrt(slope.variance));
+}
+
 double slopeOf(const InterferenceModel &model, ImageId serving, ImageId backfill)
 {
-    const Estimate &slope = model.slope[serving * maxImages + backfill];
-    return std::max(0.0, slope.value - caution * std::sqrt(slope.variance));
+    return model.assumed[serving * maxImages + backfill];
 }
 
 double pressureOf(double tailRatio)
@@ -176,9 +187,10 @@
     };
     update(own.estimate, 1.0);
     for (const auto &[image, milliCores] : use) {
-        Estimate &slope = model.slope[serving * maxImages + image];
+        Estimate slope = model.slope[serving * maxImages + image];
         update(slope, milliCores / capacity);
         slope.variance += slopeDrift;
+        setSlope(model, serving, image, slope);
     }
 }
 
@@ -211,8 +223,8 @@
         for (const json &entry : j.at("slope")) {
             const ImageId serving = ids.at(entry.at(0).get<std::size_t>());
             const ImageId other = ids.at(entry.at(1).get<std::size_t>());
-            model.slope[serving * maxImages + other] = {.value = entry.at(2).get<double>(),
-                                                        .variance = entry.at(3).get<double>()};
+            setSlope(model, serving, other,
+                     {.value = entry.at(2).get<double>(), .variance = entry.at(3).get<double>()});
         }
         return {};
     } catch (const std::exception &e) {
--- a/packages/dispatch/interference.h
+++ b/packages/dispatch/interference.h
@@ -45,6 +45,8 @@
     std::map<std::string, ImageId> names;
     /// Row: serving image; column: backfill image.
     std::vector<Estimate> slope;
+    /// What slopeOf() returns, by the same index.
+    std::vector<double> assumed;
 };
 
 /// Pressure on a serving task from its own users.
@@ -66,6 +68,9 @@
 /// are tried and learned. Precondition: both come from imageId().
 double slopeOf(const InterferenceModel &model, ImageId serving, ImageId backfill);
 
+/// Replaces what is known of a pair. Precondition: both come from imageId().
+void setSlope(InterferenceModel &model, ImageId serving, ImageId backfill, const Estimate &slope);
+
 /// Takes in one observation of a serving task: its tail ratio, and the use of a host with
 /// @p capacity. Reports that overlap with the last observation are passed over.
 void observeTail(InterferenceModel &model, ImageId serving, OwnPressure &own, double tailRatio,
--- a/packages/dispatch/interference_test.cpp
+++ b/packages/dispatch/interference_test.cpp
@@ -174,7 +174,7 @@
     Crowded crowded;
     InterferenceModel &model = crowded.dispatcher.fleet.interference;
     const ImageId serving = imageId(model, "serving");
-    model.slope[serving * maxImages + imageId(model, "batch")] = {.value = 1, .variance = 0};
+    setSlope(model, serving, imageId(model, "batch"), {.value = 1, .variance = 0});
     const auto startsAfter = [&](int tailMs, Duration after, const std::string &id) {
         crowded.report(tailMs, 0, after);
         const JobSpec spec{.id = {id},
@@ -199,7 +199,7 @@
     InterferenceModel &model = crowded.dispatcher.fleet.interference;
     const ImageId serving = imageId(model, "serving");
     const ImageId batch = imageId(model, "batch");
-    model.slope[serving * maxImages + batch] = {.value = 0, .variance = 0};
+    setSlope(model, serving, batch, {.value = 0, .variance = 0});
     CHECK(crowded.report(60, 3000, milliseconds(700)).empty());
     CHECK(crowded.report(60, 3000, milliseconds(1400)).empty());
     const std::vector<int> paused = crowded.report(60, 3000, milliseconds(1600));
@@ -227,7 +227,7 @@
     InterferenceModel &model = crowded.dispatcher.fleet.interference;
     const ImageId serving = imageId(model, "serving");
     const ImageId heavy = imageId(model, "heavy");
-    model.slope[serving * maxImages + heavy] = {.value = 3, .variance = 0.01};
+    setSlope(model, serving, heavy, {.value = 3, .variance = 0.01});
     const JobSpec spec{.id = {"x"},
                        .terms = {.service = {"svc"}, .maxAttempts = 3},
                        .steps = {{.taskSize = {.milliCores = 3000},
@@ -253,7 +253,7 @@
     InterferenceModel &model = crowded.dispatcher.fleet.interference;
     const ImageId serving = imageId(model, "serving");
     const ImageId heavy = imageId(model, "heavy");
-    model.slope[serving * maxImages + heavy] = {.value = 3, .variance = 0.01};
+    setSlope(model, serving, heavy, {.value = 3, .variance = 0.01});
     const JobSpec spec{.id = {"x"},
                        .terms = {.service = {"svc"}, .maxAttempts = 3},
                        .steps = {{.taskSize = {.milliCores = 3000},
@@ -263,7 +263,7 @@
     addJob(crowded.dispatcher, spec, emptyProgress(spec), 0, false, start);
     CHECK(plan(crowded.dispatcher, start).starts.empty());
     // What other batch tasks use counts as idle.
-    model.slope[serving * maxImages + imageId(model, "batch")] = {.value = 0, .variance = 0};
+    setSlope(model, serving, imageId(model, "batch"), {.value = 0, .variance = 0});
     crowded.run("other", {.taskSize = {.milliCores = 17000},
                           .estimatedRunTime = milliseconds(1000),
                           .image = "batch",
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -22,10 +22,11 @@
     return n;
 }
 
-bool isEligible(const FleetState &fleet, const FleetHost &host, const ServiceId &service,
-                const StepSpec &step, TimePoint now)
+/// Precondition: the host is usable.
+bool isEligible(const FleetHost &host, const ServiceId &service, const StepSpec &step,
+                TimePoint now)
 {
-    return isUsable(fleet, host) && host.service == service && now >= host.avoidUntil
+    return now >= host.avoidUntil && host.service == service
            && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
 }
 
@@ -155,7 +156,11 @@
     const FleetSummary sum = summarize(fleet);
     fleet.isHalfEmpty = static_cast<double>(sum.committed.milliCores)
                         < halfEmptyBelow * static_cast<double>(sum.capacity.milliCores);
+    fleet.usable.clear();
     for (auto &[id, host] : fleet.hosts) {
+        if (isUsable(fleet, host)) {
+            fleet.usable.push_back(&host);
+        }
         host.openness = host.servingMilliCores == 0 ? 1 : 0;
         if (host.servingMilliCores == 0 || total <= 0) {
             continue;
@@ -175,8 +180,9 @@
     const bool mayDisturb = fleet.isHalfEmpty && now - task.since >= disturbAfter;
     FleetHost *best = nullptr;
     double bestScore = 0;
-    for (auto &[id, host] : fleet.hosts) {
-        if (!isEligible(fleet, host, job.spec.terms.service, spec, now)) {
+    for (FleetHost *const candidate : fleet.usable) {
+        FleetHost &host = *candidate;
+        if (!isEligible(host, job.spec.terms.service, spec, now)) {
             continue;
         }
         const auto base = scoreOf(fleet, host, spec, job.steps[step].image, mayDisturb);
@@ -191,7 +197,7 @@
         if (!spec.dataRack.empty() && host.rack == spec.dataRack) {
             score += dataRackBonus;
         }
-        if (id == task.failedOn) {
+        if (host.id == task.failedOn) {
             score -= failedHerePenalty;
         }
         if (best == nullptr || score > bestScore) {
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -38,11 +38,12 @@
 /// committed. Users say a half; the rest is for figures that are up to a second old.
 inline constexpr double halfEmptyBelow = 0.55;
 
-/// Notes for each host how much of the backfill work that waits could run there without disturbing
-/// what serves. Called once before a round of chooseHost().
+/// Notes which hosts are usable, and for each host how much of the backfill work that waits could
+/// run there without disturbing what serves. Called once before a round of chooseHost().
 void rateOpenness(FleetState &fleet);
 
 /// Chooses the host for one task of @p job's step @p step, or nullptr if none has room now.
+/// Precondition: rateOpenness() was called in this round.
 ///
 /// Load pattern: serving tasks hold most processors for long, urgent short tasks arrive in bunches
 /// and need theirs whole, and batch tasks live on what is idle but disturb what serves beside them.
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -125,6 +125,14 @@
     const double kept = fleet.urgentMilliCores * std::exp2(-seconds / demandHalfLifeSeconds);
     fleet.urgentMilliCores = std::max(kept, static_cast<double>(demand));
     fleet.urgentDemandAt = now;
+    fleet.spareForLongRunning = -fleet.urgentMilliCores;
+    for (const auto &[id, host] : fleet.hosts) {
+        if (isUsable(fleet, host)) {
+            // The demand contains what short tasks hold already.
+            fleet.spareForLongRunning +=
+                static_cast<double>(host.capacity.milliCores - host.servingMilliCores);
+        }
+    }
 }
 
 bool isOverdue(const FleetState &fleet, const ServiceId &service, const StepSpec &step,
@@ -135,14 +143,7 @@
 
 bool leavesUrgentRoom(const FleetState &fleet, const StepSpec &step)
 {
-    double spare = -fleet.urgentMilliCores;
-    for (const auto &[id, host] : fleet.hosts) {
-        if (isUsable(fleet, host)) {
-            // The demand contains what short tasks hold already.
-            spare += static_cast<double>(host.capacity.milliCores - host.servingMilliCores);
-        }
-    }
-    return spare >= static_cast<double>(step.taskSize.milliCores);
+    return fleet.spareForLongRunning >= static_cast<double>(step.taskSize.milliCores);
 }
 
 } // namespace acaciadeal
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -22,7 +22,8 @@
 /// then late ones; last those so late that nobody waits for them any more. Nothing is dropped.
 std::vector<ReadyStep> readySteps(FleetState &fleet, TimePoint now);
 
-/// Follows the processors that short committed tasks need, at their recent peak.
+/// Follows the processors that short committed tasks need, at their recent peak, and what they
+/// leave for long-running ones. Called once before a round of decisions.
 void updateUrgentDemand(FleetState &fleet, TimePoint now);
 
 /// Returns whether a long-running task that has waited for @p waited has to start before everything
