Spread job rows over parts of the store

Cause: all jobs were in one part, and a part carries out its writes one after another.

The new test takes 0.2 s and fails with one part.

--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -677,16 +677,20 @@
     if (old.empty()) {
         return;
     }
-    Transaction jobRows;
-    Transaction progressRows;
+    std::map<std::string, Transaction> byPart;
+    const auto remove = [&](const std::string &key) {
+        byPart[env.platform.partOf ? env.platform.partOf(key) : std::string()].deletes.push_back(
+            key);
+    };
     for (const JobId &id : old) {
-        jobRows.deletes.insert(jobRows.deletes.end(), {jobRowKey(id), cancelRowKey(id)});
-        progressRows.deletes.push_back(progressRowKey(id));
+        remove(jobRowKey(id));
+        remove(cancelRowKey(id));
+        remove(progressRowKey(id));
         dispatcher.fleet.jobs.erase(id);
     }
     ended.erase(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(old.size()));
-    for (Transaction *const transaction : {&jobRows, &progressRows}) {
-        env.platform.commit(std::move(*transaction), [](const Result<CommitVersions> &result) {
+    for (auto &[part, transaction] : byPart) {
+        env.platform.commit(std::move(transaction), [](const Result<CommitVersions> &result) {
             if (!result) {
                 logEvent(EventId::WriteOutcomeUnknown,
                          {{"what", "removal of old jobs"}, {"reason", result.error().message}});
--- a/packages/fleet/jobfront.cpp
+++ b/packages/fleet/jobfront.cpp
@@ -26,6 +26,7 @@
 constexpr unsigned statusOk = 200;
 /// The store takes 100 entries in a write, checks and rows counted.
 constexpr std::size_t jobsPerCommit = 40;
+/// Per part of the store.
 constexpr int maxCommitsInFlight = 2;
 /// For a rejection whose time cannot be read.
 constexpr unsigned long defaultRetryAfterMs = 2000;
@@ -135,14 +136,32 @@
     commitWaiting();
 }
 
-/// Load pattern: a slow store carries out a few writes a second, while jobs arrive at five times
-/// that rate. One write for all that wait keeps the store's queue short.
+std::string JobFront::partOf(const Submission &submission) const
+{
+    return m_env.platform.partOf ? m_env.platform.partOf(jobRowKey(submission.job.id))
+                                 : std::string();
+}
+
 void JobFront::commitWaiting()
+{
+    std::set<std::string> parts;
+    for (const auto &submission : m_waiting) {
+        parts.insert(partOf(*submission));
+    }
+    for (const std::string &part : parts) {
+        commitPart(part);
+    }
+}
+
+/// Load pattern: a slow store carries out a few writes a second in each of its parts, while jobs
+/// arrive at several times that rate. One write for all that wait for a part keeps its queue short,
+/// and no part waits for another one.
+void JobFront::commitPart(const std::string &part)
 {
     const TimePoint now = bootNow();
-    const bool busy = m_commitsInFlight >= maxCommitsInFlight
-                      || (m_commitsInFlight > 0 && now - m_lastCommitAt < m_options.slowCommit);
-    if (m_waiting.empty() || busy) {
+    PartWrites &writes = m_writes[part];
+    if (writes.inFlight >= maxCommitsInFlight
+        || (writes.inFlight > 0 && now - writes.lastAt < m_options.slowCommit)) {
         return;
     }
     std::vector<std::shared_ptr<Submission>> batch;
@@ -151,7 +170,8 @@
     std::erase_if(m_waiting, [&](const std::shared_ptr<Submission> &submission) {
         const std::string key = jobRowKey(submission->job.id);
         // A repeated submission that arrives meanwhile waits for the outcome of the first.
-        if (batch.size() >= jobsPerCommit || !keys.insert(key).second) {
+        if (partOf(*submission) != part || batch.size() >= jobsPerCommit
+            || !keys.insert(key).second) {
             return false;
         }
         ++submission->attempts;
@@ -160,14 +180,17 @@
         batch.push_back(submission);
         return true;
     });
-    ++m_commitsInFlight;
-    m_lastCommitAt = now;
-    m_env.platform.commit(std::move(transaction),
-                          [this, batch = std::move(batch)](const Result<CommitVersions> &result) {
-                              --m_commitsInFlight;
-                              onCommitted(batch, result);
-                              commitWaiting();
-                          });
+    ++writes.inFlight;
+    writes.lastAt = now;
+    m_env.platform.commit(std::move(transaction), [this, part, batch = std::move(batch)](
+                                                      const Result<CommitVersions> &result) {
+        const auto it = m_writes.find(part);
+        if (--it->second.inFlight == 0) {
+            m_writes.erase(it);
+        }
+        onCommitted(batch, result);
+        commitWaiting();
+    });
     m_env.loop.postAfter(m_options.slowCommit, [this] { commitWaiting(); });
 }
 
--- a/packages/fleet/jobfront.h
+++ b/packages/fleet/jobfront.h
@@ -10,6 +10,7 @@
 #include "wire/peerserver.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -84,6 +85,8 @@
                    const AdmissionDecision &decision);
     void store(const std::shared_ptr<Submission> &submission);
     void commitWaiting();
+    void commitPart(const std::string &part);
+    std::string partOf(const Submission &submission) const;
     void onCommitted(const std::vector<std::shared_ptr<Submission>> &batch,
                      const Result<CommitVersions> &result);
     void onStored(const std::shared_ptr<Submission> &submission,
@@ -101,8 +104,13 @@
     JobFrontOptions m_options;
     /// Jobs that wait for the next write.
     std::vector<std::shared_ptr<Submission>> m_waiting;
-    int m_commitsInFlight = 0;
-    TimePoint m_lastCommitAt;
+    struct PartWrites
+    {
+        int inFlight = 0;
+        TimePoint lastAt;
+    };
+    /// Writes that are on their way, by part of the store.
+    std::map<std::string, PartWrites> m_writes;
 };
 
 } // namespace acaciadeal
--- a/packages/fleet/jobfront_test.cpp
+++ b/packages/fleet/jobfront_test.cpp
@@ -3,6 +3,7 @@
 #include "kernel/pluginregistry.h"
 #include "runtime/eventloop.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <future>
 
@@ -156,3 +157,26 @@
     CHECK(front.submit({"lost"}) == std::vector{ResultCode::Ok});
     CHECK(front.storedJobs() == 1);
 }
+
+// Load pattern: a slow store, whose parts carry out a few writes a second, and jobs that arrive
+// one by one. Guards against jobs that wait behind the writes of others until their callers give
+// up.
+TEST_CASE("jobs in different parts of the store do not wait for each other")
+{
+    Front front;
+    front.platform.partOf = [](const std::string &key) {
+        return key.substr(key.size() - 1);
+    };
+    front.delay = milliseconds(100);
+    std::vector<std::string> ids;
+    ids.reserve(8);
+    for (int n = 0; n < 8; ++n) {
+        ids.push_back("part" + std::to_string(n));
+    }
+    const TimePoint begun = std::chrono::steady_clock::now();
+    const auto codes = front.submit(ids);
+    CHECK(std::count(codes.begin(), codes.end(), ResultCode::Ok) == 8);
+    CHECK(std::chrono::steady_clock::now() - begun < milliseconds(190));
+    CHECK(front.commits == 8);
+    CHECK(front.storedJobs() == 8);
+}
--- a/packages/store/platform.h
+++ b/packages/store/platform.h
@@ -144,6 +144,9 @@
     /// Errors: HistoryLost if the platform no longer has them; then read the table again.
     std::function<void(std::string table, std::uint64_t after, Duration wait, ChangesCallback)>
         changes;
+    /// Returns the name of the store's part that holds @p key. All rows of a transaction are in one
+    /// part, and parts work independently of each other. Empty if there is only one.
+    std::function<std::string(const std::string &key)> partOf;
 };
 
 struct PlatformOptions
