--- a/packages/dispatch/hostprogress.cpp
+++ b/packages/dispatch/hostprogress.cpp
@@ -11,6 +11,9 @@
 constexpr double lagFactor = 4.0;
 /// Declared run times are off by up to two and a half.
 constexpr double declaredLagFactor = 6.0;
+/// Share of the bound for a whole run that has to have passed: progress is reported in steps, and
+/// says little at the start of a run.
+constexpr double minBoundShare = 0.25;
 /// Time before a run is judged: two reports, so that its progress is known.
 constexpr Duration minElapsed = milliseconds(900);
 /// A job alone may be slow, unevenly sized or wrongly declared.
@@ -38,9 +41,8 @@
     const bool hasSibling = step.shortestRun > Duration(0);
     const Duration normal = hasSibling ? step.shortestRun : Duration(spec.estimatedRunTime);
     const double factor = hasSibling ? lagFactor : declaredLagFactor;
-    const double share = std::max(task.percent, 1) / 100.0;
-    return normal > Duration(0) && elapsed > factor * share * normal
-           && elapsed > factor * 0.25 * normal;
+    const double share = std::max(task.percent / 100.0, minBoundShare);
+    return normal > Duration(0) && elapsed > factor * share * normal;
 }
 
 void judgeProgress(Dispatcher &dispatcher, FleetHost &host, TimePoint now)
--- a/packages/dispatch/interference.cpp
+++ b/packages/dispatch/interference.cpp
@@ -24,8 +24,7 @@
 constexpr Duration settleTime = milliseconds(600);
 /// A pace below this percentage is not worth its processor time; the tasks pause instead.
 constexpr int minPace = 10;
-/// Smaller changes are not worth a call for each task: at 490 hosts these were a third of all
-/// calls.
+/// Smaller changes are not worth a call for each task.
 constexpr int minPaceStep = 20;
 
 /// Assumed slope of a pair that was never seen; with the caution below, a task on a tenth of a host
