Log why tasks wait, and what the holder sees at that moment

Added, without a change of any decision: - 8021 TaskWaits, each second for up to 8 steps in which a task has waited for 2 s, restarts of long-running tasks first: the rule that keeps it back, its size, the places by room alone, hosts that suit, hosts that would suit and are avoided, usable hosts, the oldest report. The choice of a host and its explanation share one function, rateHost(), so that they cannot differ.

dispatch_test and fleet_test pass; waitreason_test tells each rule from the others.

--- a/packages/base/event.cpp
+++ b/packages/base/event.cpp
@@ -110,6 +110,8 @@
               "What the holder sees in sum, every few seconds."},
     EventInfo{EventId::JobOffered, Severity::Info, "JobOffered",
               "The holder decided whether a job may be stored."},
+    EventInfo{EventId::TaskWaits, Severity::Info, "TaskWaits",
+              "A task has waited for a while; which rule keeps it back, and what the holder sees."},
 };
 
 } // namespace
--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -68,6 +68,7 @@
     JobInquired = 8018,
     FleetStatus = 8019,
     JobOffered = 8020,
+    TaskWaits = 8021,
 };
 
 /// One row of the event catalogue.
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -146,7 +146,8 @@
     host.avoidUntil = now + dispatcher.options.probation;
     note(dispatcher, {.kind = Finding::Kind::HostAvoided,
                       .host = host.id,
-                      .reason = std::to_string(host.failuresInARow) + " failures in a row"});
+                      .reason = std::to_string(host.failuresInARow) + " failures in a row",
+                      .duration = dispatcher.options.probation});
 }
 
 bool isCurrent(const TaskRuntime &task, const HostId &host, std::uint64_t run)
@@ -344,6 +345,7 @@
     task.isWhole = task.checkpoint.empty();
     task.phase = TaskPhase::Starting;
     task.host = host.id;
+    const Duration waited = now - task.since;
     task.since = now;
     task.progressedAt = now;
     --job.steps[key.step].waiting;
@@ -353,7 +355,12 @@
         dispatcher.fleet.spareForLongRunning -=
             static_cast<double>(stepOf(job, key).taskSize.milliCores);
     }
-    orders.starts.push_back({host.id, key, task.run, job.spec.payload, task.checkpoint});
+    orders.starts.push_back({.host = host.id,
+                             .task = key,
+                             .run = task.run,
+                             .payload = job.spec.payload,
+                             .checkpoint = task.checkpoint,
+                             .waited = waited});
 }
 
 /// Smallest processor need for which no host was found in this round, by kind of step. Spares the
@@ -500,6 +507,7 @@
     adjustPace(dispatcher.fleet, *state, now);
     orderPaces(dispatcher.fleet, *state, dispatcher.paces);
     state->reported = true;
+    state->reportedAt = now;
 }
 
 void takeStartOutcome(Dispatcher &dispatcher, const StartRun &order, StartOutcome outcome,
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -16,6 +16,8 @@
     std::uint64_t run = 0;
     std::string payload;
     std::string checkpoint;
+    /// Since the task was submitted, or its last run ended.
+    Duration waited{0};
 };
 
 struct StopRun
@@ -51,6 +53,8 @@
     HostId host;
     std::uint64_t run = 0;
     std::string reason;
+    /// How long a host is avoided.
+    Duration duration{0};
 };
 
 struct DispatchOptions
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -107,6 +107,8 @@
     bool listed = false;
     /// Whether it has reported to this holder, so that what runs there is known.
     bool reported = false;
+    /// When its last report arrived.
+    TimePoint reportedAt;
     /// Whether its last renewal was answered.
     bool reachable = false;
     std::optional<milliseconds> bornAt;
--- a/packages/dispatch/hostprogress.cpp
+++ b/packages/dispatch/hostprogress.cpp
@@ -66,7 +66,8 @@
                                        .host = host.id,
                                        .reason = std::to_string(lagging.size()) + " tasks of "
                                                  + std::to_string(jobs.size())
-                                                 + " jobs make too little progress"});
+                                                 + " jobs make too little progress",
+                                       .duration = dispatcher.options.probation});
     }
     host.avoidUntil = std::max(host.avoidUntil, now + dispatcher.options.probation);
     dispatcher.fleet.relocating.insert(lagging.begin(), lagging.end());
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -22,14 +22,22 @@
     return n;
 }
 
-/// Precondition: the host is usable.
-bool isEligible(const FleetHost &host, const ServiceId &service, const StepSpec &step,
-                TimePoint now)
+bool isEligible(const FleetHost &host, const ServiceId &service, const StepSpec &step)
 {
-    return now >= host.avoidUntil && host.service == service
+    return host.service == service
            && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
 }
 
+/// Returns what a task of the step commits; batch tasks commit no processors.
+Resources committedNeed(const StepSpec &step)
+{
+    Resources need = step.taskSize;
+    if (step.backfill) {
+        need.milliCores = 0;
+    }
+    return need;
+}
+
 /// Returns the share of the host's serving processors that belong to @p image.
 double imageShare(const FleetHost &host, ImageId image)
 {
@@ -82,23 +90,16 @@
            + idle / capacity;
 }
 
-/// Returns how well @p host suits; nothing if it has no room.
+/// Precondition: the host has room.
 std::optional<double> scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
                               ImageId image, bool mayDisturb)
 {
-    Resources need = step.taskSize;
-    if (step.backfill) {
-        need.milliCores = 0;
-    }
-    if (host.hasUnknownRun || !fits(need, freeOn(host))) {
-        return std::nullopt;
-    }
     const auto capacity = static_cast<double>(std::max<std::int64_t>(host.capacity.milliCores, 1));
     if (step.backfill) {
         return backfillScore(fleet, host, step, image, capacity, mayDisturb);
     }
-    const auto freeAfter =
-        static_cast<double>(host.capacity.milliCores - host.committed.milliCores - need.milliCores);
+    const auto freeAfter = static_cast<double>(host.capacity.milliCores - host.committed.milliCores
+                                               - step.taskSize.milliCores);
     return step.tailTarget.count() > 0 ? servingScore(host, image, capacity, freeAfter)
                                        : urgentScore(host, capacity, freeAfter);
 }
@@ -125,14 +126,10 @@
 
 bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step)
 {
-    Resources need = step.taskSize;
-    if (step.backfill) {
-        need.milliCores = 0;
-    }
+    const Resources need = committedNeed(step);
     return std::any_of(fleet.hosts.begin(), fleet.hosts.end(), [&](const auto &entry) {
         const FleetHost &host = entry.second;
-        return host.service == service && fits(need, host.capacity)
-               && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
+        return isEligible(host, service, step) && fits(need, host.capacity);
     });
 }
 
@@ -173,36 +170,57 @@
     }
 }
 
-FleetHost *chooseHost(FleetState &fleet, const JobRuntime &job, std::uint32_t step,
-                      const TaskRuntime &task, TimePoint now)
+HostRating rateHost(const FleetState &fleet, const FleetHost &host, const JobRuntime &job,
+                    std::uint32_t step, const TaskRuntime &task, TimePoint now)
 {
     const StepSpec &spec = job.spec.steps[step];
+    if (!isEligible(host, job.spec.terms.service, spec)) {
+        return {.misfit = Misfit::OtherHosts};
+    }
+    if (host.hasUnknownRun || !fits(committedNeed(spec), freeOn(host))) {
+        return {.misfit = Misfit::Room};
+    }
+    if (spec.maxTasksPerHost > 0 && tasksOfStep(host, job.spec.id, step) >= spec.maxTasksPerHost) {
+        return {.misfit = Misfit::TasksPerHost};
+    }
     const bool mayDisturb = fleet.isHalfEmpty && now - task.since >= disturbAfter;
+    const auto base = scoreOf(fleet, host, spec, job.steps[step].image, mayDisturb);
+    if (!base) {
+        return {.misfit = Misfit::Interference};
+    }
+    if (now < host.avoidUntil) {
+        return {.misfit = Misfit::Avoided};
+    }
+    double score = *base;
+    if (!spec.dataRack.empty() && host.rack == spec.dataRack) {
+        score += dataRackBonus;
+    }
+    if (host.id == task.failedOn) {
+        score -= failedHerePenalty;
+    }
+    return {.score = score};
+}
+
+int placesOn(const FleetHost &host, const StepSpec &step)
+{
+    const Resources free = freeOn(host);
+    const Resources need = committedNeed(step);
+    if (!fits(need, free)) {
+        return 0;
+    }
+    return fits(need + need, free) ? 2 : 1;
+}
+
+FleetHost *chooseHost(FleetState &fleet, const JobRuntime &job, std::uint32_t step,
+                      const TaskRuntime &task, TimePoint now)
+{
     FleetHost *best = nullptr;
     double bestScore = 0;
-    for (FleetHost *const candidate : fleet.usable) {
-        FleetHost &host = *candidate;
-        if (!isEligible(host, job.spec.terms.service, spec, now)) {
-            continue;
-        }
-        const auto base = scoreOf(fleet, host, spec, job.steps[step].image, mayDisturb);
-        if (!base) {
-            continue;
-        }
-        double score = *base;
-        if (spec.maxTasksPerHost > 0
-            && tasksOfStep(host, job.spec.id, step) >= spec.maxTasksPerHost) {
-            continue;
-        }
-        if (!spec.dataRack.empty() && host.rack == spec.dataRack) {
-            score += dataRackBonus;
-        }
-        if (host.id == task.failedOn) {
-            score -= failedHerePenalty;
-        }
-        if (best == nullptr || score > bestScore) {
-            best = &host;
-            bestScore = score;
+    for (FleetHost *const host : fleet.usable) {
+        const HostRating rating = rateHost(fleet, *host, job, step, task, now);
+        if (rating.misfit == Misfit::None && (best == nullptr || rating.score > bestScore)) {
+            best = host;
+            bestScore = rating.score;
         }
     }
     return best;
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -38,6 +38,37 @@
 /// committed. Users say a half; the rest is for figures that are up to a second old.
 inline constexpr double halfEmptyBelow = 0.55;
 
+/// What keeps a task off a host.
+enum class Misfit : std::uint8_t {
+    None,
+    /// The host is of another service or lacks the label.
+    OtherHosts,
+    /// No room beside what is committed there.
+    Room,
+    /// The host runs as many tasks of the step as may run together.
+    TasksPerHost,
+    /// A batch task would disturb what serves there, or get too little.
+    Interference,
+    /// The host would suit, and is avoided for a while.
+    Avoided,
+};
+
+struct HostRating
+{
+    Misfit misfit = Misfit::None;
+    /// How well the host suits; meaningful without a misfit.
+    double score = 0;
+};
+
+/// Returns whether and how well @p host suits a task of @p job's step @p step now. Precondition:
+/// the host is usable, and rateOpenness() was called in this round. Thread-safe.
+HostRating rateHost(const FleetState &fleet, const FleetHost &host, const JobRuntime &job,
+                    std::uint32_t step, const TaskRuntime &task, TimePoint now);
+
+/// Returns how many more tasks of @p step fit beside what is committed on @p host, 2 at most.
+/// Thread-safe.
+int placesOn(const FleetHost &host, const StepSpec &step);
+
 /// Notes which hosts are usable, and for each host how much of the backfill work that waits could
 /// run there without disturbing what serves. Called once before a round of chooseHost().
 void rateOpenness(FleetState &fleet);
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/waitorder.h"
 
+#include "dispatch/placement.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -68,9 +70,7 @@
         if (!isUsable(fleet, host) || host.service != service) {
             continue;
         }
-        const Resources free = freeOn(host);
-        places += fits(step.taskSize, free) ? 1 : 0;
-        places += fits(step.taskSize + step.taskSize, free) ? 1 : 0;
+        places += placesOn(host, step);
     }
     return places >= 2;
 }
--- /dev/null
+++ b/packages/dispatch/waitreason.cpp
@@ -0,0 +1,161 @@
+#include "dispatch/waitreason.h"
+
+#include "dispatch/placement.h"
+#include "dispatch/waitorder.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace acaciadeal {
+namespace {
+
+/// Counts the usable hosts of the step's service by what keeps the task off them.
+using MisfitCounts = std::array<int, static_cast<std::size_t>(Misfit::Avoided) + 1>;
+
+WaitRule ruleFor(const MisfitCounts &hosts)
+{
+    const auto has = [&hosts](Misfit misfit) {
+        return hosts[static_cast<std::size_t>(misfit)] > 0;
+    };
+    if (has(Misfit::Avoided)) {
+        return WaitRule::AvoidedHosts;
+    }
+    if (has(Misfit::TasksPerHost)) {
+        return WaitRule::TasksPerHost;
+    }
+    return has(Misfit::Interference) ? WaitRule::Interference : WaitRule::NoRoom;
+}
+
+} // namespace
+
+std::string_view waitRuleName(WaitRule rule)
+{
+    switch (rule) {
+    case WaitRule::HolderIsNew:
+        return "holder_is_new";
+    case WaitRule::EarlierStep:
+        return "earlier_step";
+    case WaitRule::OldHostList:
+        return "old_host_list";
+    case WaitRule::StartRefused:
+        return "start_refused";
+    case WaitRule::NoSuchHost:
+        return "no_such_host";
+    case WaitRule::NoRoom:
+        return "no_room";
+    case WaitRule::AvoidedHosts:
+        return "avoided_hosts";
+    case WaitRule::TasksPerHost:
+        return "tasks_per_host";
+    case WaitRule::Interference:
+        return "interference";
+    case WaitRule::UrgentRoom:
+        return "urgent_room";
+    case WaitRule::NextRound:
+        return "next_round";
+    }
+    return "unrecognized";
+}
+
+std::string_view waitRuleText(WaitRule rule)
+{
+    switch (rule) {
+    case WaitRule::HolderIsNew:
+        return "the holder is new; a host that may run them has not answered yet";
+    case WaitRule::EarlierStep:
+        return "an earlier step is not done";
+    case WaitRule::OldHostList:
+        return "the host list is too old to start tasks";
+    case WaitRule::StartRefused:
+        return "a host just refused the start";
+    case WaitRule::NoSuchHost:
+        return "no host of the service is large enough or has the label";
+    case WaitRule::NoRoom:
+        return "no host has room";
+    case WaitRule::AvoidedHosts:
+        return "the hosts with room are avoided for a while";
+    case WaitRule::TasksPerHost:
+        return "the hosts with room run as many tasks of the step as may run together";
+    case WaitRule::Interference:
+        return "no host has idle processors for it beside what its image does not disturb";
+    case WaitRule::UrgentRoom:
+        return "no room beside what short tasks need from time to time";
+    case WaitRule::NextRound:
+        return "the next round of decisions starts it";
+    }
+    return "unrecognized";
+}
+
+WaitReason explainWait(const Dispatcher &dispatcher, const JobRuntime &job, std::uint32_t step,
+                       const TaskRuntime &task, TimePoint now)
+{
+    const FleetState &fleet = dispatcher.fleet;
+    const StepSpec &spec = job.spec.steps[step];
+    WaitReason reason{.waited = now - task.since};
+    MisfitCounts hosts{};
+    for (const auto &[id, host] : fleet.hosts) {
+        if (!isUsable(fleet, host)) {
+            continue;
+        }
+        ++reason.usableHosts;
+        reason.oldestReport = std::max(reason.oldestReport, now - host.reportedAt);
+        const Misfit misfit = rateHost(fleet, host, job, step, task, now).misfit;
+        ++hosts[static_cast<std::size_t>(misfit)];
+        reason.places += misfit == Misfit::OtherHosts ? 0 : placesOn(host, spec);
+    }
+    reason.suitableHosts = hosts[static_cast<std::size_t>(Misfit::None)];
+    reason.avoidedHosts = hosts[static_cast<std::size_t>(Misfit::Avoided)];
+    if (job.unaccounted) {
+        reason.rule = WaitRule::HolderIsNew;
+    } else if (!job.steps[step].open) {
+        reason.rule = WaitRule::EarlierStep;
+    } else if (isHostListOld(dispatcher, now)) {
+        reason.rule = WaitRule::OldHostList;
+    } else if (now < task.notBefore) {
+        reason.rule = WaitRule::StartRefused;
+    } else if (!canEverRun(fleet, job.spec.terms.service, spec)) {
+        reason.rule = WaitRule::NoSuchHost;
+    } else if (reason.suitableHosts == 0) {
+        reason.rule = ruleFor(hosts);
+    } else if (spec.longRunning && !leavesUrgentRoom(fleet, spec)
+               && !isOverdue(fleet, job.spec.terms.service, spec, reason.waited)) {
+        reason.rule = WaitRule::UrgentRoom;
+    }
+    return reason;
+}
+
+std::vector<WaitingStep> waitingSteps(const FleetState &fleet, Duration atLeast, TimePoint now)
+{
+    std::vector<WaitingStep> result;
+    for (const JobRuntime *const job : fleet.live) {
+        for (std::uint32_t n = 0; n < job->steps.size(); ++n) {
+            const StepRuntime &step = job->steps[n];
+            if (!step.open || step.waiting == 0) {
+                continue;
+            }
+            WaitingStep longest{.job = job, .step = n, .waited = Duration(-1)};
+            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+                const TaskRuntime &task = step.tasks[index];
+                const bool isRestart = job->spec.steps[n].longRunning && task.run > 0;
+                const Duration waited = now - task.since;
+                if (task.phase == TaskPhase::Waiting
+                    && std::tuple(isRestart, waited)
+                           > std::tuple(longest.isRestart, longest.waited)) {
+                    longest.task = index;
+                    longest.waited = waited;
+                    longest.isRestart = isRestart;
+                }
+            }
+            if (longest.waited >= atLeast) {
+                result.push_back(longest);
+            }
+        }
+    }
+    std::sort(result.begin(), result.end(), [](const WaitingStep &a, const WaitingStep &b) {
+        return std::tuple(a.isRestart, a.waited) > std::tuple(b.isRestart, b.waited);
+    });
+    return result;
+}
+
+} // namespace acaciadeal
--- /dev/null
+++ b/packages/dispatch/waitreason_test.cpp
@@ -0,0 +1,172 @@
+#include "dispatch/waitreason.h"
+
+#include "dispatch/placement.h"
+
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+const TimePoint start = TimePoint(std::chrono::hours(1));
+const JobId id = {"j"};
+
+TimePoint at(int ms)
+{
+    return start + milliseconds(ms);
+}
+
+/// Two hosts and one long-running job that waits.
+struct Fleet
+{
+    Dispatcher dispatcher;
+
+    explicit Fleet(const StepSpec &step = longStep())
+    {
+        for (const char *const name : {"a", "b"}) {
+            FleetHost &host = dispatcher.fleet.hosts[{name}];
+            host.id = {name};
+            host.service = {"svc"};
+            host.capacity = {.milliCores = 8000, .memoryMiB = 64000};
+            host.listed = true;
+            host.reported = true;
+            host.reachable = true;
+            host.reportedAt = start;
+        }
+        const JobSpec spec = {.id = id,
+                              .terms = {.queue = "q", .service = {"svc"}, .maxAttempts = 3},
+                              .steps = {step}};
+        addJob(dispatcher, spec, emptyProgress(spec), 0, false, start);
+    }
+
+    static StepSpec longStep()
+    {
+        return {.tasks = 1,
+                .taskSize = {.milliCores = 3000, .memoryMiB = 1000},
+                .longRunning = true,
+                .tailTarget = milliseconds(100)};
+    }
+
+    FleetHost &host(const char *name)
+    {
+        return dispatcher.fleet.hosts.at({name});
+    }
+
+    JobRuntime &job()
+    {
+        return *findJob(dispatcher.fleet, id);
+    }
+
+    WaitReason explain(TimePoint now)
+    {
+        rateOpenness(dispatcher.fleet);
+        return explainWait(dispatcher, job(), 0, job().steps[0].tasks[0], now);
+    }
+};
+
+} // namespace
+
+// Guards against logs that cannot tell why a task waits.
+TEST_CASE("each rule that keeps a task back is told from the others")
+{
+    Fleet fleet;
+    fleet.dispatcher.fleet.spareForLongRunning = 1e6;
+    CHECK(fleet.explain(at(100)).rule == WaitRule::NextRound);
+
+    SUBCASE("a new holder")
+    {
+        fleet.job().unaccounted = true;
+        CHECK(fleet.explain(at(100)).rule == WaitRule::HolderIsNew);
+    }
+    SUBCASE("an earlier step")
+    {
+        fleet.job().steps[0].open = false;
+        CHECK(fleet.explain(at(100)).rule == WaitRule::EarlierStep);
+    }
+    SUBCASE("an old host list")
+    {
+        fleet.dispatcher.fleet.hostsReadAt = start;
+        CHECK(fleet.explain(at(5000)).rule == WaitRule::OldHostList);
+    }
+    SUBCASE("a refused start")
+    {
+        fleet.job().steps[0].tasks[0].notBefore = at(200);
+        CHECK(fleet.explain(at(100)).rule == WaitRule::StartRefused);
+    }
+    SUBCASE("hosts that are all too small")
+    {
+        fleet.host("a").capacity.milliCores = 1000;
+        fleet.host("b").capacity.milliCores = 1000;
+        CHECK(fleet.explain(at(100)).rule == WaitRule::NoSuchHost);
+    }
+    SUBCASE("no room")
+    {
+        fleet.host("a").committed.milliCores = 6000;
+        fleet.host("b").hasUnknownRun = true;
+        CHECK(fleet.explain(at(100)).rule == WaitRule::NoRoom);
+    }
+    SUBCASE("room that short tasks need")
+    {
+        fleet.dispatcher.fleet.spareForLongRunning = 0;
+        CHECK(fleet.explain(at(100)).rule == WaitRule::UrgentRoom);
+        CHECK(fleet.explain(at(3000)).rule == WaitRule::NextRound);
+    }
+}
+
+TEST_CASE("room on avoided hosts is told from no room")
+{
+    Fleet fleet;
+    fleet.dispatcher.fleet.spareForLongRunning = 1e6;
+    fleet.host("a").committed.milliCores = 6000;
+    fleet.host("b").avoidUntil = at(4000);
+    const WaitReason reason = fleet.explain(at(1000));
+    CHECK(reason.rule == WaitRule::AvoidedHosts);
+    CHECK(reason.places == 2);
+    CHECK(reason.suitableHosts == 0);
+    CHECK(reason.avoidedHosts == 1);
+    CHECK(reason.usableHosts == 2);
+    CHECK(reason.waited == milliseconds(1000));
+    CHECK(reason.oldestReport == milliseconds(1000));
+}
+
+TEST_CASE("the limit of tasks on one host is told from no room")
+{
+    StepSpec step = Fleet::longStep();
+    step.tasks = 3;
+    step.maxTasksPerHost = 1;
+    Fleet fleet(step);
+    fleet.dispatcher.fleet.spareForLongRunning = 1e6;
+    occupy(fleet.host("a"), fleet.job(), {.job = id, .index = 1}, 1);
+    occupy(fleet.host("b"), fleet.job(), {.job = id, .index = 2}, 1);
+    CHECK(fleet.explain(at(100)).rule == WaitRule::TasksPerHost);
+}
+
+TEST_CASE("a batch task that gets no idle processors is told from no room")
+{
+    StepSpec step = Fleet::longStep();
+    step.longRunning = false;
+    step.tailTarget = milliseconds(0);
+    step.backfill = true;
+    Fleet fleet(step);
+    fleet.host("a").backfillMilliCores = 7000;
+    fleet.host("b").backfillMilliCores = 7000;
+    CHECK(fleet.explain(at(100)).rule == WaitRule::Interference);
+}
+
+// Guards against a log in which the restarts that count are beyond the bound of its lines.
+TEST_CASE("restarts of long-running tasks are reported before first starts")
+{
+    Fleet fleet;
+    const JobSpec other = {.id = {"older"},
+                           .terms = {.queue = "q", .service = {"svc"}, .maxAttempts = 3},
+                           .steps = {Fleet::longStep()}};
+    addJob(fleet.dispatcher, other, emptyProgress(other), 0, false, start - milliseconds(500));
+    fleet.job().steps[0].tasks[0].run = 1;
+    const std::vector<WaitingStep> steps =
+        waitingSteps(fleet.dispatcher.fleet, milliseconds(2000), at(3000));
+    REQUIRE(steps.size() == 2);
+    CHECK(steps[0].job->spec.id == id);
+    CHECK(steps[0].isRestart);
+    CHECK(steps[1].waited == milliseconds(3500));
+    CHECK(waitingSteps(fleet.dispatcher.fleet, milliseconds(3200), at(3000)).size() == 1);
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -85,6 +85,7 @@
 
     void tick();
     void reportStatus();
+    void reportWaits();
     void readModel();
     void storeModel();
     void readNewJobs();
@@ -492,11 +493,15 @@
     HostLink &link = it->second;
     link.leaseEnd = std::max(link.leaseEnd, now + lapseTime(options.lease));
     env.metrics.count("fleet_starts_total", {});
-    logEvent(EventId::TaskOrdered, {{"job", order.task.job.value},
-                                    {"task", describe(order.task)},
-                                    {"run", std::to_string(order.run)},
-                                    {"host", order.host.value},
-                                    {"resumed", order.checkpoint.empty() ? "no" : "yes"}});
+    env.metrics.observe("fleet_start_wait_seconds", {}, order.waited);
+    logEvent(EventId::TaskOrdered,
+             {{"job", order.task.job.value},
+              {"task", describe(order.task)},
+              {"run", std::to_string(order.run)},
+              {"host", order.host.value},
+              {"waited_ms",
+               std::to_string(std::chrono::duration_cast<milliseconds>(order.waited).count())},
+              {"resumed", order.checkpoint.empty() ? "no" : "yes"}});
     HostCall call = callFor(link);
     call.timeout = std::min(options.startTimeout, options.hostTimeout);
     env.hosts.start(call, order, *leaseUntil,
@@ -583,10 +588,18 @@
 
 void FleetHolder::Impl::reportStatus()
 {
-    internal::logStatus(dispatcher.fleet);
+    internal::logStatus(dispatcher.fleet, bootNow());
     env.loop.postAfter(options.statusEvery, guarded([this] { reportStatus(); }));
 }
 
+void FleetHolder::Impl::reportWaits()
+{
+    if (loaded && env.mayAct()) {
+        internal::logWaits(dispatcher, env.metrics, bootNow());
+    }
+    env.loop.postAfter(options.reportWaitsEvery, guarded([this] { reportWaits(); }));
+}
+
 /// Without the model of the previous holder this one only learns again; nothing waits for it.
 void FleetHolder::Impl::readModel()
 {
@@ -726,6 +739,7 @@
     m_impl->listHosts();
     m_impl->tick();
     m_impl->reportStatus();
+    m_impl->reportWaits();
     m_impl->readModel();
     m_impl->env.loop.postAfter(m_impl->options.storeModelEvery,
                                m_impl->guarded([impl = m_impl.get()] { impl->storeModel(); }));
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -50,6 +50,9 @@
     /// Housekeeping of leases, delays and repeated orders.
     Duration tickEvery = milliseconds(100);
     Duration statusEvery = std::chrono::seconds(2);
+    /// Period in which the reasons of waiting tasks are logged; below the 3 s for which users
+    /// accept that a task waits beside free room.
+    Duration reportWaitsEvery = std::chrono::seconds(1);
     /// Period in which what was learned of the images is stored for the next holder.
     Duration storeModelEvery = std::chrono::seconds(4);
     /// Time for which the first arrival of a rejected job is remembered.
--- a/packages/fleet/internal/holderlog.cpp
+++ b/packages/fleet/internal/holderlog.cpp
@@ -1,11 +1,21 @@
 #include "fleet/internal/holderlog.h"
 
+#include "dispatch/waitreason.h"
 #include "logging/log.h"
 #include "runtime/bootclock.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciadeal::internal {
+namespace {
+
+std::string inMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+} // namespace
 
 void logFindings(Dispatcher &dispatcher, Metrics &metrics)
 {
@@ -35,34 +45,43 @@
                                            {"host", finding.host.value}});
             break;
         case Finding::Kind::HostAvoided:
-            logEvent(EventId::HostAvoided,
-                     {{"host", finding.host.value}, {"reason", finding.reason}});
+            logEvent(EventId::HostAvoided, {{"host", finding.host.value},
+                                            {"reason", finding.reason},
+                                            {"for_ms", inMilliseconds(finding.duration)}});
             break;
         case Finding::Kind::JobEnded: {
             const JobRuntime *const job = findJob(dispatcher.fleet, finding.job);
             const auto age = job == nullptr ? Duration(0) : bootNow() - job->acceptedAt;
             metrics.observe("fleet_job_seconds",
                             {{"queue", job == nullptr ? "" : job->spec.terms.queue}}, age);
-            logEvent(EventId::JobEnded,
-                     {{"job", finding.job.value},
-                      {"reason", finding.reason},
-                      {"age_ms",
-                       std::to_string(std::chrono::duration_cast<milliseconds>(age).count())}});
+            logEvent(EventId::JobEnded, {{"job", finding.job.value},
+                                         {"reason", finding.reason},
+                                         {"age_ms", inMilliseconds(age)}});
             break;
         }
         }
     }
 }
 
-void logStatus(const FleetState &fleet)
+void logStatus(const FleetState &fleet, TimePoint now)
 {
     const FleetSummary sum = summarize(fleet);
+    int avoided = 0;
+    Resources avoidedRoom;
+    for (const auto &[id, host] : fleet.hosts) {
+        if (isUsable(fleet, host) && now < host.avoidUntil) {
+            ++avoided;
+            avoidedRoom = avoidedRoom + freeOn(host);
+        }
+    }
     const auto cores = [](std::int64_t milliCores) {
         return std::to_string(milliCores / 1000);
     };
     logEvent(EventId::FleetStatus,
              {{"hosts", std::to_string(sum.hosts)},
               {"usable", std::to_string(sum.usableHosts)},
+              {"avoided", std::to_string(avoided)},
+              {"avoided_free", cores(avoidedRoom.milliCores)},
               {"cores", cores(sum.capacity.milliCores)},
               {"committed", cores(sum.committed.milliCores)},
               {"serving", cores(sum.servingMilliCores)},
@@ -71,7 +90,40 @@
               {"memory_used_gib", std::to_string(sum.committed.memoryMiB / 1024)},
               {"live_jobs", std::to_string(fleet.live.size())},
               {"waiting_tasks", std::to_string(sum.waitingTasks)},
-              {"waiting_backfill_tasks", std::to_string(sum.waitingBackfillTasks)}});
+              {"waiting_backfill_tasks", std::to_string(sum.waitingBackfillTasks)},
+              {"long_running_spare", cores(static_cast<std::int64_t>(fleet.spareForLongRunning))},
+              {"host_list_age_ms", fleet.hostsReadAt ? inMilliseconds(now - *fleet.hostsReadAt)
+                                                     : std::string("none")}});
+}
+
+void logWaits(const Dispatcher &dispatcher, Metrics &metrics, TimePoint now)
+{
+    std::vector<WaitingStep> steps = waitingSteps(dispatcher.fleet, reportedWait, now);
+    const std::size_t found = steps.size();
+    steps.resize(std::min(found, maxWaitLines));
+    for (const WaitingStep &step : steps) {
+        const JobRuntime &job = *step.job;
+        const TaskRuntime &task = job.steps[step.step].tasks[step.task];
+        const Resources &size = job.spec.steps[step.step].taskSize;
+        const WaitReason reason = explainWait(dispatcher, job, step.step, task, now);
+        const std::string rule(waitRuleName(reason.rule));
+        metrics.count("fleet_waits_total", {{"rule", rule}});
+        logEvent(EventId::TaskWaits,
+                 {{"job", job.spec.id.value},
+                  {"task", describe({.job = job.spec.id, .step = step.step, .index = step.task})},
+                  {"rule", rule},
+                  {"waited_ms", inMilliseconds(reason.waited)},
+                  {"restart", step.isRestart ? "yes" : "no"},
+                  {"waiting_in_step", std::to_string(job.steps[step.step].waiting)},
+                  {"millicores", std::to_string(size.milliCores)},
+                  {"memory_mib", std::to_string(size.memoryMiB)},
+                  {"places", std::to_string(reason.places)},
+                  {"suitable_hosts", std::to_string(reason.suitableHosts)},
+                  {"avoided_hosts", std::to_string(reason.avoidedHosts)},
+                  {"usable_hosts", std::to_string(reason.usableHosts)},
+                  {"oldest_report_ms", inMilliseconds(reason.oldestReport)},
+                  {"steps_that_wait", std::to_string(found)}});
+    }
 }
 
 } // namespace acaciadeal::internal
--- a/packages/fleet/internal/holderlog.h
+++ b/packages/fleet/internal/holderlog.h
@@ -10,7 +10,16 @@
 void logFindings(Dispatcher &dispatcher, Metrics &metrics);
 
 /// Logs the sums over the fleet.
-void logStatus(const FleetState &fleet);
+void logStatus(const FleetState &fleet, TimePoint now);
+
+/// Wait from which a task's reason to wait is logged.
+inline constexpr Duration reportedWait = std::chrono::seconds(2);
+/// Most lines about waiting tasks in one call of logWaits(); bounds the volume in a full fleet.
+inline constexpr std::size_t maxWaitLines = 8;
+
+/// Logs why tasks wait, a line for each step, long-running tasks that ran before first. Counts by
+/// rule the steps that it logs.
+void logWaits(const Dispatcher &dispatcher, Metrics &metrics, TimePoint now);
 
 } // namespace acaciadeal::internal
 
--- a/packages/fleet/statuspages.cpp
+++ b/packages/fleet/statuspages.cpp
@@ -1,7 +1,8 @@
 #include "fleet/statuspages.h"
 
-#include "dispatch/placement.h"
+#include "dispatch/waitreason.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace acaciadeal {
@@ -82,28 +83,9 @@
     return j;
 }
 
-/// Says why the waiting tasks of a step do not run.
-std::string reasonToWait(const FleetState &fleet, const JobRuntime &job, std::size_t n)
-{
-    const StepSpec &step = job.spec.steps[n];
-    if (job.unaccounted) {
-        return "the holder is new; a host that may run them has not answered yet";
-    }
-    if (!job.steps[n].open) {
-        return "an earlier step is not done";
-    }
-    if (!canEverRun(fleet, job.spec.terms.service, step)) {
-        return "no host of the service is large enough or has the label";
-    }
-    if (step.backfill) {
-        return "no host has idle processors for it beside what its image does not disturb";
-    }
-    return step.longRunning ? "no room beside what short tasks need from time to time"
-                            : "no host has room";
-}
-
-HttpResponse jobPage(const FleetState &fleet, const JobId &id, TimePoint now)
+HttpResponse jobPage(const Dispatcher &dispatcher, const JobId &id, TimePoint now)
 {
+    const FleetState &fleet = dispatcher.fleet;
     const JobRuntime *const job = findJob(fleet, id);
     if (job == nullptr) {
         return errorResponse({ResultCode::JobNotFound, "no such job is known", id.value});
@@ -118,8 +100,17 @@
                              {"percent", task.percent}});
         }
         json step = {{"step", n}, {"waiting", job->steps[n].waiting}, {"tasks", std::move(tasks)}};
-        if (job->steps[n].waiting > 0 && !isTerminal(job->progress.outcome)) {
-            step["waits_because"] = reasonToWait(fleet, *job, n);
+        const std::vector<TaskRuntime> &all = job->steps[n].tasks;
+        const auto waiting = std::find_if(all.begin(), all.end(), [](const TaskRuntime &task) {
+            return task.phase == TaskPhase::Waiting;
+        });
+        if (waiting != all.end() && !isTerminal(job->progress.outcome)) {
+            const auto number = static_cast<std::uint32_t>(n);
+            const WaitReason reason = explainWait(dispatcher, *job, number, *waiting, now);
+            step["waits_because"] = waitRuleText(reason.rule);
+            step["waited_ms"] = millisecondsOf(reason.waited);
+            step["places"] = reason.places;
+            step["avoided_hosts"] = reason.avoidedHosts;
         }
         steps.push_back(std::move(step));
     }
@@ -197,7 +188,7 @@
         return latePage(fleet, inputs.now);
     }
     if (path.starts_with(jobsPath)) {
-        return jobPage(fleet, {path.substr(jobsPath.size())}, inputs.now);
+        return jobPage(*inputs.dispatcher, {path.substr(jobsPath.size())}, inputs.now);
     }
     return hostPage(fleet, {path.substr(hostsPath.size())}, inputs.now);
 }
