--- /dev/null
+++ b/packages/dispatch/avoidedhost_test.cpp
@@ -0,0 +1,201 @@
+#include "dispatch/dispatcher.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <optional>
+#include <random>
+
+using namespace acaciadeal;
+
+namespace {
+
+const TimePoint start = TimePoint(std::chrono::hours(1));
+/// Users accept that a task waits this long beside room for two of its kind.
+constexpr Duration acceptedWait = std::chrono::seconds(3);
+
+TimePoint at(int ms)
+{
+    return start + milliseconds(ms);
+}
+
+JobSpec job(const std::string &id, const StepSpec &step)
+{
+    return {.id = {id},
+            .terms = {.queue = "q",
+                      .service = {"svc"},
+                      .maxAttempts = 3,
+                      .slowdownFactor = 2,
+                      .targetLatency = milliseconds(1000)},
+            .steps = {step}};
+}
+
+StepSpec shortStep()
+{
+    return {.tasks = 1,
+            .taskSize = {.milliCores = 1000, .memoryMiB = 1000},
+            .estimatedRunTime = milliseconds(600)};
+}
+
+StepSpec longStep()
+{
+    return {.tasks = 1,
+            .taskSize = {.milliCores = 3000, .memoryMiB = 1000},
+            .longRunning = true,
+            .tailTarget = milliseconds(100)};
+}
+
+/// Hosts of 8 processors that say what the dispatcher believes, except for the ends they are given.
+struct Fleet
+{
+    Dispatcher dispatcher;
+    std::map<HostId, std::uint64_t> ends;
+
+    explicit Fleet(int hosts)
+    {
+        for (int n = 0; n < hosts; ++n) {
+            FleetHost host;
+            host.id = {"h" + std::to_string(n)};
+            host.service = {"svc"};
+            host.capacity = {.milliCores = 8000, .memoryMiB = 64000};
+            host.listed = true;
+            host.reported = true;
+            host.reachable = true;
+            dispatcher.fleet.hosts[host.id] = host;
+        }
+    }
+
+    void submit(const std::string &id, const StepSpec &step, TimePoint now)
+    {
+        const JobSpec spec = job(id, step);
+        addJob(dispatcher, spec, emptyProgress(spec), 0, false, now);
+    }
+
+    /// Starts what may start; the hosts confirm it.
+    std::vector<StartRun> planAt(TimePoint now)
+    {
+        std::vector<StartRun> starts = plan(dispatcher, now).starts;
+        for (const StartRun &order : starts) {
+            takeStartOutcome(dispatcher, order, StartOutcome::Started, now);
+        }
+        return starts;
+    }
+
+    void end(const StartRun &order, RunEnd how, TimePoint now)
+    {
+        HostReport report;
+        report.ended.push_back(
+            {.number = ++ends[order.host], .task = order.task, .run = order.run, .end = how});
+        for (const auto &[task, run] : dispatcher.fleet.hosts.at(order.host).runs) {
+            if (task != order.task) {
+                report.active.push_back({.task = task, .run = run, .percent = 100});
+            }
+        }
+        takeReport(dispatcher, order.host, report, now, true, now);
+    }
+
+    /// Makes the dispatcher suspect host @p id: runs of several jobs fail there.
+    void failRunsOn(const HostId &id, int jobs, TimePoint now)
+    {
+        for (auto &[other, host] : dispatcher.fleet.hosts) {
+            host.reachable = other == id;
+        }
+        for (int n = 0; n < jobs; ++n) {
+            submit(id.value + "-fails" + std::to_string(n), shortStep(), now);
+        }
+        for (const StartRun &order : planAt(now)) {
+            end(order, RunEnd::Failed, now);
+            cancelJob(dispatcher, order.task.job, now);
+        }
+        for (auto &[other, host] : dispatcher.fleet.hosts) {
+            host.reachable = true;
+        }
+        REQUIRE(dispatcher.fleet.hosts.at(id).avoidUntil > now);
+    }
+
+    void removeHost(const std::string &id, TimePoint now)
+    {
+        loseRuns(dispatcher, {id}, "test", now);
+        dispatcher.fleet.hosts.erase({id});
+    }
+};
+
+/// Returns when the task of job "long" is started, by rounds every 50 ms from @p from.
+std::optional<TimePoint> startOfLong(Fleet &fleet, TimePoint from, Duration patience)
+{
+    for (TimePoint now = from; now <= from + patience; now += milliseconds(50)) {
+        for (const StartRun &order : fleet.planAt(now)) {
+            if (order.task.job.value == "long") {
+                return now;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Guards against a task that stays away while the only hosts with room are avoided.
+TEST_CASE("a long-running task that lost its host is not kept away by avoided hosts with room")
+{
+    Fleet fleet(2);
+    fleet.submit("long", longStep(), at(0));
+    REQUIRE(fleet.planAt(at(0)).size() == 1);
+    const HostId first = findTask(fleet.dispatcher.fleet, {.job = {"long"}})->host;
+    const HostId other = {first.value == "h0" ? "h1" : "h0"};
+    fleet.failRunsOn(other, 5, at(9900));
+    fleet.removeHost(first.value, at(10000));
+    const auto started = startOfLong(fleet, at(10000), std::chrono::seconds(10));
+    REQUIRE(started);
+    CHECK(*started - at(10000) < acceptedWait);
+}
+
+// Guards against sound hosts that stand idle because a few tasks in a row failed by their own
+// fault.
+TEST_CASE("hosts are not avoided for the share of runs that fail everywhere")
+{
+    constexpr int hosts = 48;
+    constexpr double ownFailures = 0.05;
+    constexpr int rounds = 100;
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        std::bernoulli_distribution fails(ownFailures);
+        Fleet fleet(hosts);
+        for (int round = 0; round < rounds; ++round) {
+            const TimePoint now = at(500 * round);
+            for (int n = 0; n < hosts; ++n) {
+                fleet.submit(std::to_string(round) + "-" + std::to_string(n), shortStep(), now);
+            }
+            for (const StartRun &order : fleet.planAt(now)) {
+                fleet.end(order, fails(random) ? RunEnd::Failed : RunEnd::Done,
+                          now + milliseconds(400));
+            }
+        }
+        int avoided = 0;
+        for (const Finding &finding : fleet.dispatcher.findings) {
+            avoided += finding.kind == Finding::Kind::HostAvoided ? 1 : 0;
+        }
+        CHECK(avoided == 0);
+    }
+}
+
+// Guards against a host on which tasks of a hopeless job fail, and which is avoided for it.
+TEST_CASE("a host is not avoided for the failures of one job")
+{
+    Fleet fleet(1);
+    StepSpec step = shortStep();
+    step.tasks = 8;
+    fleet.submit("hopeless", step, at(0));
+    for (const StartRun &order : fleet.planAt(at(0))) {
+        fleet.end(order, RunEnd::Failed, at(100));
+    }
+    CHECK(fleet.dispatcher.fleet.hosts.at({"h0"}).avoidUntil <= at(100));
+}
+
+TEST_CASE("a host that fails what several jobs start there is avoided")
+{
+    Fleet fleet(1);
+    fleet.failRunsOn({"h0"}, 4, at(0));
+    fleet.submit("next", shortStep(), at(100));
+    CHECK(fleet.planAt(at(100)).empty());
+}
