Suspect a host by the failures of four jobs, not of two runs

Cause: a host was avoided after two failures in a row. The class is evidence that ordinary behaviour produces.

Fix: the runs of four distinct jobs have to fail without a success between them, at one in twenty about once in 160,000 ends. Starts that a host refuses as unhealthy are its own word, so two in a row are enough as before; they are counted apart.

--- a/packages/dispatch/avoidedhost_test.cpp
+++ b/packages/dispatch/avoidedhost_test.cpp
@@ -233,3 +233,16 @@
     fleet.submit("next", shortStep(), at(100));
     CHECK(fleet.planAt(at(100)).empty());
 }
+
+// Guards against starts that an unhealthy host refuses again and again.
+TEST_CASE("a host that refuses starts of one job is avoided")
+{
+    Fleet fleet(1);
+    StepSpec step = shortStep();
+    step.tasks = 2;
+    fleet.submit("j", step, at(0));
+    for (const StartRun &order : plan(fleet.dispatcher, at(0)).starts) {
+        takeStartOutcome(fleet.dispatcher, order, StartOutcome::Unhealthy, at(10));
+    }
+    CHECK(fleet.dispatcher.fleet.hosts.at({"h0"}).avoidUntil > at(10));
+}
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -134,22 +134,42 @@
     }
 }
 
-void judgeHost(Dispatcher &dispatcher, FleetHost &host, bool failed, TimePoint now)
+void avoid(Dispatcher &dispatcher, FleetHost &host, std::string reason, TimePoint now)
 {
-    if (!failed) {
-        host.failuresInARow = 0;
-        return;
-    }
-    if (++host.failuresInARow < dispatcher.options.failuresBeforeProbation) {
-        return;
-    }
     host.avoidUntil = now + dispatcher.options.probation;
     note(dispatcher, {.kind = Finding::Kind::HostAvoided,
                       .host = host.id,
-                      .reason = std::to_string(host.failuresInARow) + " failures in a row",
+                      .reason = std::move(reason),
                       .duration = dispatcher.options.probation});
 }
 
+void noteSuccess(FleetHost &host)
+{
+    host.failedJobs.clear();
+    host.refusalsInARow = 0;
+}
+
+void noteFailure(Dispatcher &dispatcher, FleetHost &host, const JobId &job, TimePoint now)
+{
+    std::vector<JobId> &jobs = host.failedJobs;
+    const std::size_t limit = dispatcher.options.failedJobsBeforeProbation;
+    if (jobs.size() < limit && std::find(jobs.begin(), jobs.end(), job) == jobs.end()) {
+        jobs.push_back(job);
+    }
+    if (jobs.size() == limit) {
+        avoid(dispatcher, host,
+              "runs of " + std::to_string(limit) + " jobs failed without a success", now);
+    }
+}
+
+void noteRefusal(Dispatcher &dispatcher, FleetHost &host, TimePoint now)
+{
+    if (++host.refusalsInARow >= dispatcher.options.refusalsBeforeProbation) {
+        avoid(dispatcher, host, std::to_string(host.refusalsInARow) + " starts refused in a row",
+              now);
+    }
+}
+
 bool isCurrent(const TaskRuntime &task, const HostId &host, std::uint64_t run)
 {
     return task.host == host && task.run == run && task.phase != TaskPhase::Waiting
@@ -188,14 +208,18 @@
         task->checkpoint = ended.checkpoint;
     }
     if (ended.end == RunEnd::Done && !stepOf(*job, ended.task).longRunning) {
-        judgeHost(dispatcher, host, false, now);
+        noteSuccess(host);
         if (current && task->isWhole && !task->wasPaced) {
             noteRunTime(job->steps[ended.task.step], now - task->since);
         }
         completeTask(dispatcher, *job, ended.task, *task, now);
     } else if (ended.end == RunEnd::Failed) {
-        // A job that fails everywhere says nothing about the host.
-        judgeHost(dispatcher, host, task->failedOn.empty(), now);
+        if (task->failedOn.empty()) {
+            noteFailure(dispatcher, host, ended.task.job, now);
+        } else {
+            // A job that fails everywhere says nothing about the host.
+            noteSuccess(host);
+        }
         failTask(dispatcher, *job, ended.task, *task, now);
     } else {
         returnToWaiting(dispatcher, *job, ended.task, *task, now);
@@ -525,6 +549,7 @@
         task->phase = TaskPhase::Running;
         task->since = now;
         if (host != nullptr) {
+            host->refusalsInARow = 0;
             orderPaces(dispatcher.fleet, *host, dispatcher.paces);
         }
         return;
@@ -534,7 +559,7 @@
         return;
     case StartOutcome::Unhealthy:
         if (host != nullptr) {
-            judgeHost(dispatcher, *host, true, now);
+            noteRefusal(dispatcher, *host, now);
         }
         break;
     case StartOutcome::Malformed:
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -62,7 +62,12 @@
     /// Time for which a host is avoided after tasks failed or lagged there: it comes last. Longer
     /// than an ordinary restart of a worker, short enough to use a repaired host again.
     Duration probation = std::chrono::seconds(4);
-    int failuresBeforeProbation = 2;
+    /// Distinct jobs whose runs fail on a host, without a success between them, that make it
+    /// avoided. One run in twenty fails by its own fault, and one job in a hundred can never be
+    /// done.
+    std::size_t failedJobsBeforeProbation = 4;
+    /// Refusals on end after which a host that says it is unhealthy is avoided.
+    int refusalsBeforeProbation = 2;
     /// Age of the host list up to which tasks are started. Users allow 2 s between a host's notice
     /// that it leaves and the last start there; the rest is for the order's way.
     Duration maxHostListAge = milliseconds(1800);
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -134,8 +134,11 @@
     /// Highest end number that was taken in, and the highest whose effect is durable.
     std::uint64_t seenEnd = 0;
     std::uint64_t durableEnd = 0;
-    /// Ends `failed` on end, over distinct tasks; 0 after a success.
-    int failuresInARow = 0;
+    /// Jobs of which a run failed there since the last success, up to the number that makes the
+    /// host avoided.
+    std::vector<JobId> failedJobs;
+    /// Starts that the host refused as unhealthy on end; 0 after a start or a success.
+    int refusalsInARow = 0;
     TimePoint avoidUntil;
     /// Allowed speed of backfill tasks in percent.
     int pace = 100;
