Do not take a job's repeated failure for a success of its host

A run that failed after the same task had failed elsewhere cleared what was held against its host, although it says nothing about the host either way. On a host that fails everything, such repetitions among the first failures kept it trusted.

Such an end now changes nothing. The new test failed before: two jobs that fail everywhere and two others fail on one host in turn, and it was not avoided.

--- a/packages/dispatch/avoidedhost_test.cpp
+++ b/packages/dispatch/avoidedhost_test.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
 #include <optional>
@@ -234,6 +235,31 @@
     CHECK(fleet.planAt(at(100)).empty());
 }
 
+// Guards against a failing host that is trusted because a job that fails everywhere fails there
+// too.
+TEST_CASE("a repeated failure of a job is not taken for a success of the host")
+{
+    Fleet fleet(1);
+    StepSpec step = shortStep();
+    fleet.submit("hopeless", step, at(0));
+    fleet.submit("hopeless too", step, at(0));
+    for (const StartRun &order : fleet.planAt(at(0))) {
+        fleet.end(order, RunEnd::Failed, at(0));
+    }
+    fleet.submit("third", step, at(100));
+    fleet.submit("fourth", step, at(100));
+    std::vector<StartRun> starts = fleet.planAt(at(100));
+    REQUIRE(starts.size() == 4);
+    for (const char *const name : {"hopeless", "third", "hopeless too", "fourth"}) {
+        const auto it = std::find_if(starts.begin(), starts.end(), [name](const StartRun &order) {
+            return order.task.job.value == name;
+        });
+        REQUIRE(it != starts.end());
+        fleet.end(*it, RunEnd::Failed, at(200));
+    }
+    CHECK(fleet.dispatcher.fleet.hosts.at({"h0"}).avoidUntil > at(200));
+}
+
 // Guards against starts that an unhealthy host refuses again and again.
 TEST_CASE("a host that refuses starts of one job is avoided")
 {
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -214,11 +214,9 @@
         }
         completeTask(dispatcher, *job, ended.task, *task, now);
     } else if (ended.end == RunEnd::Failed) {
+        // A job that fails everywhere says nothing about the host.
         if (task->failedOn.empty()) {
             noteFailure(dispatcher, host, ended.task.job, now);
-        } else {
-            // A job that fails everywhere says nothing about the host.
-            noteSuccess(host);
         }
         failTask(dispatcher, *job, ended.task, *task, now);
     } else {
