Don't keep a step back because one with more memory found no host

Within a round, plan() remembered the smallest processor need for which no host was found, and passed over every later step that needs as many processors or more. The failure may have come from memory or accelerators, of which the later step needs less. Each round begins with the same steps, so the wait lasts as long as the larger step waits. Found by reading; not seen in a trace of the incident.

The memo now holds the whole need, and a request is passed over only if a failed one needs at most as much of each resource: chooseHost() decides on exactly these amounts. It moves to files of its own, as a list of requests of which none covers another. Room for committed tasks does not depend on the image, so their entries are no longer kept apart by it.

Before the change: dispatcher_test.cpp: CHECK( startedTasks(dispatcher, at(10)) == "little/0/0" ) is NOT correct! values: CHECK( == little/0/0 ) dispatcher_test.cpp: CHECK( startedTasks(dispatcher, at(0)) == "plain/0/0" ) is NOT correct! values: CHECK( == plain/0/0 )

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/hostprogress.h"
 #include "dispatch/interference.h"
 #include "dispatch/placement.h"
+#include "dispatch/roommemo.h"
 #include "dispatch/waitorder.h"
 
 #include <algorithm>
@@ -385,35 +386,11 @@
                              .waited = waited});
 }
 
-/// Smallest processor need for which no host was found in this round, by kind of step. Spares the
-/// search for the many steps that wait for the same kind of room.
-using NoRoomMemo = std::map<std::pair<bool, ImageId>, std::int64_t>;
-
 bool isPlain(const StepSpec &step)
 {
     return step.requiredLabel.empty() && step.maxTasksPerHost == 0;
 }
 
-std::pair<bool, ImageId> kindOf(const JobRuntime &job, std::uint32_t step)
-{
-    return {job.spec.steps[step].backfill, job.steps[step].image};
-}
-
-bool isHopeless(const NoRoomMemo &noRoom, const JobRuntime &job, std::uint32_t step)
-{
-    const auto it = noRoom.find(kindOf(job, step));
-    return it != noRoom.end() && job.spec.steps[step].taskSize.milliCores >= it->second;
-}
-
-void remember(NoRoomMemo &noRoom, const JobRuntime &job, std::uint32_t step)
-{
-    const StepSpec &spec = job.spec.steps[step];
-    if (isPlain(spec)) {
-        const auto [it, added] = noRoom.try_emplace(kindOf(job, step), spec.taskSize.milliCores);
-        it->second = std::min(it->second, spec.taskSize.milliCores);
-    }
-}
-
 /// Which waiting tasks of a step may start.
 enum class StartRule : std::uint8_t { OverdueOnly, Any };
 
@@ -429,12 +406,13 @@
     return !step.longRunning || leavesUrgentRoom(dispatcher.fleet, step);
 }
 
-void startStep(Dispatcher &dispatcher, const ReadyStep &ready, StartRule rule, NoRoomMemo &noRoom,
+void startStep(Dispatcher &dispatcher, const ReadyStep &ready, StartRule rule, RoomMemo &noRoom,
                Orders &orders, TimePoint now)
 {
     JobRuntime &job = *ready.job;
     StepRuntime &step = job.steps[ready.step];
-    if (isHopeless(noRoom, job, ready.step)) {
+    const RoomRequest request = roomRequest(job, ready.step);
+    if (hasNoRoom(noRoom, request)) {
         return;
     }
     for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
@@ -444,7 +422,9 @@
         }
         FleetHost *const host = chooseHost(dispatcher.fleet, job, ready.step, task, now);
         if (host == nullptr) {
-            remember(noRoom, job, ready.step);
+            if (isPlain(job.spec.steps[ready.step])) {
+                rememberNoRoom(noRoom, request);
+            }
             return;
         }
         startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
@@ -618,7 +598,7 @@
     stopRelocating(dispatcher, orders, now);
     updateUrgentDemand(dispatcher.fleet, now);
     rateOpenness(dispatcher.fleet);
-    NoRoomMemo noRoom;
+    RoomMemo noRoom;
     const std::vector<ReadyStep> steps = isHostListOld(dispatcher, now)
                                              ? std::vector<ReadyStep>()
                                              : readySteps(dispatcher.fleet, now);
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -51,6 +51,13 @@
     addJob(dispatcher, spec, emptyProgress(spec), 0, false, now);
 }
 
+/// Returns the job with a class that comes after that of job().
+JobSpec behind(JobSpec spec)
+{
+    ++spec.terms.priority;
+    return spec;
+}
+
 TaskKey key(const std::string &id, std::uint32_t index = 0, std::uint32_t stepIndex = 0)
 {
     return {.job = {id}, .step = stepIndex, .index = index};
@@ -66,6 +73,16 @@
     return orders;
 }
 
+/// Returns the tasks that startAll() started, separated by blanks.
+std::string startedTasks(Dispatcher &dispatcher, TimePoint now)
+{
+    std::string tasks;
+    for (const StartRun &order : startAll(dispatcher, now).starts) {
+        tasks += (tasks.empty() ? "" : " ") + describe(order.task);
+    }
+    return tasks;
+}
+
 /// Reports ends, and as present what the holder believes to be present and has not ended.
 void report(Dispatcher &dispatcher, const std::string &host, std::vector<RunEnding> ended,
             TimePoint now)
@@ -270,3 +287,29 @@
     dispatcher.fleet.hostsReadAt = at(1000);
     CHECK(plan(dispatcher, at(1900)).starts.size() == 1);
 }
+
+// Guards against a task that waits although a host has room: processors are not all that runs out.
+TEST_CASE("a step with little memory is not kept back by one with much")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    StepSpec much = step(1, 1000);
+    much.taskSize.memoryMiB = 40000;
+    add(dispatcher, job("running", {much}));
+    CHECK(startAll(dispatcher, at(0)).starts.size() == 1);
+    add(dispatcher, job("much", {much}));
+    add(dispatcher, behind(job("little", {step(1, 1000)})));
+    CHECK(startedTasks(dispatcher, at(10)) == "little/0/0");
+}
+
+// The same for accelerators.
+TEST_CASE("a step without accelerators is not kept back by one that needs them")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    StepSpec accelerated = step(1, 1000);
+    accelerated.taskSize.accelerators = 1;
+    add(dispatcher, job("accelerated", {accelerated}));
+    add(dispatcher, behind(job("plain", {step(1, 1000)})));
+    CHECK(startedTasks(dispatcher, at(0)) == "plain/0/0");
+}
--- /dev/null
+++ b/packages/dispatch/roommemo.h
@@ -0,0 +1,46 @@
+#ifndef ACACIADEAL_DISPATCH_ROOMMEMO_H
+#define ACACIADEAL_DISPATCH_ROOMMEMO_H
+
+#include "dispatch/fleetstate.h"
+
+#include <vector>
+
+namespace acaciadeal {
+
+/// What decides whether chooseHost() finds a host for a task.
+struct RoomRequest
+{
+    Resources need;
+    bool backfill = false;
+    /// Of a backfill task; 0 otherwise, as room for committed tasks does not depend on the image.
+    ImageId image = 0;
+};
+
+/// Most requests that a RoomMemo holds; older ones make room for newer ones.
+inline constexpr std::size_t maxRoomMemoEntries = 64;
+
+/// Requests for which no host was found in one round of decisions. Spares the search for the many
+/// tasks that wait for the same kind of room. Valid while hosts only lose room. Not thread-safe.
+struct RoomMemo
+{
+    /// None covers another one.
+    std::vector<RoomRequest> failed;
+};
+
+/// Returns what a task of @p job's step @p step asks for. Precondition: the job has the step.
+/// Thread-safe.
+RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step);
+
+/// Returns whether every host that suits @p narrow suits @p wide too, so that no host suits
+/// @p narrow if none suits @p wide. Thread-safe.
+bool covers(const RoomRequest &wide, const RoomRequest &narrow);
+
+/// Returns whether @p memo shows that no host suits @p request.
+bool hasNoRoom(const RoomMemo &memo, const RoomRequest &request);
+
+/// Records that no host was found for @p request.
+void rememberNoRoom(RoomMemo &memo, const RoomRequest &request);
+
+} // namespace acaciadeal
+
+#endif
