Don't keep a service back because the hosts of another are full

The memo of failed searches did not say for which service no host was found, although chooseHost() takes only hosts of the job's service.

A request now names the service, and covers only requests of the same one.

--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -313,3 +313,19 @@
     add(dispatcher, behind(job("plain", {step(1, 1000)})));
     CHECK(startedTasks(dispatcher, at(0)) == "plain/0/0");
 }
+
+// Guards against a service whose tasks wait although its own hosts are empty.
+TEST_CASE("a service with room is not kept back by a full one")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1");
+    addHost(dispatcher, "h2");
+    dispatcher.fleet.hosts[{"h2"}].service = {"other"};
+    add(dispatcher, job("running", {step(1, 8000)}));
+    CHECK(startAll(dispatcher, at(0)).starts.size() == 1);
+    add(dispatcher, job("full", {step(1, 1000)}));
+    JobSpec other = behind(job("other", {step(1, 1000)}));
+    other.terms.service = {"other"};
+    add(dispatcher, other);
+    CHECK(startedTasks(dispatcher, at(10)) == "other/0/0");
+}
--- a/packages/dispatch/roommemo.cpp
+++ b/packages/dispatch/roommemo.cpp
@@ -7,7 +7,8 @@
 RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step)
 {
     const StepSpec &spec = job.spec.steps[step];
-    return {.need = spec.taskSize,
+    return {.service = job.spec.terms.service.value,
+            .need = spec.taskSize,
             .backfill = spec.backfill,
             .image = spec.backfill ? job.steps[step].image : ImageId(0)};
 }
@@ -15,7 +16,7 @@
 bool covers(const RoomRequest &wide, const RoomRequest &narrow)
 {
     return wide.backfill == narrow.backfill && wide.image == narrow.image
-           && fits(wide.need, narrow.need);
+           && fits(wide.need, narrow.need) && wide.service == narrow.service;
 }
 
 bool hasNoRoom(const RoomMemo &memo, const RoomRequest &request)
--- a/packages/dispatch/roommemo.h
+++ b/packages/dispatch/roommemo.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/fleetstate.h"
 
+#include <string_view>
 #include <vector>
 
 namespace acaciadeal {
@@ -10,6 +11,8 @@
 /// What decides whether chooseHost() finds a host for a task.
 struct RoomRequest
 {
+    /// Owned by the job.
+    std::string_view service;
     Resources need;
     bool backfill = false;
     /// Of a backfill task; 0 otherwise, as room for committed tasks does not depend on the image.
