Don't keep an old batch task back because a young one found no host

The memo of failed searches did not know of this: the failure of a younger task counted for it too, in every round.

What a task may do because it has waited is now a value of its own, PlacementPermits, that the choice of a host and the memo both take from permitsOf(). A request covers only requests with no further permits. Committed tasks have none, so nothing changes for them.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -411,18 +411,23 @@
 {
     JobRuntime &job = *ready.job;
     StepRuntime &step = job.steps[ready.step];
-    const RoomRequest request = roomRequest(job, ready.step);
-    if (hasNoRoom(noRoom, request)) {
+    const StepSpec &spec = job.spec.steps[ready.step];
+    if (hasNoRoom(noRoom, roomRequest(job, ready.step, widestPermits(dispatcher.fleet, spec)))) {
         return;
     }
     for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
         TaskRuntime &task = step.tasks[n];
-        if (!mayStart(dispatcher, job, job.spec.steps[ready.step], task, rule, now)) {
+        if (!mayStart(dispatcher, job, spec, task, rule, now)) {
             continue;
         }
+        const RoomRequest request =
+            roomRequest(job, ready.step, permitsOf(dispatcher.fleet, spec, task, now));
+        if (hasNoRoom(noRoom, request)) {
+            return;
+        }
         FleetHost *const host = chooseHost(dispatcher.fleet, job, ready.step, task, now);
         if (host == nullptr) {
-            if (isPlain(job.spec.steps[ready.step])) {
+            if (isPlain(spec)) {
                 rememberNoRoom(noRoom, request);
             }
             return;
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -83,6 +83,28 @@
     return tasks;
 }
 
+StepSpec batchStep(std::uint32_t tasks, std::int64_t milliCores)
+{
+    StepSpec spec = step(tasks, milliCores);
+    spec.image = "batch";
+    spec.backfill = true;
+    return spec;
+}
+
+/// Adds a host of which a serving task uses a quarter, and which any batch task disturbs.
+void addDisturbedHost(Dispatcher &dispatcher, const std::string &id)
+{
+    addHost(dispatcher, id);
+    StepSpec serving = step(1, 2000);
+    serving.image = "serving";
+    serving.longRunning = true;
+    serving.tailTarget = milliseconds(100);
+    add(dispatcher, job("serving", {serving}));
+    REQUIRE(startAll(dispatcher, start).starts.size() == 1);
+    InterferenceModel &model = dispatcher.fleet.interference;
+    setSlope(model, imageId(model, "serving"), imageId(model, "batch"), {.value = 5.0});
+}
+
 /// Reports ends, and as present what the holder believes to be present and has not ended.
 void report(Dispatcher &dispatcher, const std::string &host, std::vector<RunEnding> ended,
             TimePoint now)
@@ -329,3 +351,15 @@
     add(dispatcher, other);
     CHECK(startedTasks(dispatcher, at(10)) == "other/0/0");
 }
+
+// Guards against a batch task that waits in an idle fleet for as long as younger ones arrive, which
+// may not disturb serving tasks yet.
+TEST_CASE("a batch task that may disturb is not kept back by one that may not")
+{
+    Dispatcher dispatcher;
+    addDisturbedHost(dispatcher, "h");
+    add(dispatcher, behind(job("old", {batchStep(1, 1000)})), at(0));
+    CHECK(startAll(dispatcher, at(10)).starts.empty());
+    add(dispatcher, job("young", {batchStep(1, 1000)}), at(10) + disturbAfter);
+    CHECK(startedTasks(dispatcher, at(20) + disturbAfter) == "old/0/0");
+}
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -182,6 +182,23 @@
     }
 }
 
+PlacementPermits widestPermits(const FleetState &fleet, const StepSpec &step)
+{
+    return {.disturb = step.backfill && fleet.isHalfEmpty};
+}
+
+PlacementPermits permitsOf(const FleetState &fleet, const StepSpec &step, const TaskRuntime &task,
+                           TimePoint now)
+{
+    const PlacementPermits widest = widestPermits(fleet, step);
+    return {.disturb = widest.disturb && now - task.since >= disturbAfter};
+}
+
+bool covers(const PlacementPermits &wide, const PlacementPermits &narrow)
+{
+    return wide.disturb || !narrow.disturb;
+}
+
 HostRating rateHost(const FleetState &fleet, const FleetHost &host, const JobRuntime &job,
                     std::uint32_t step, const TaskRuntime &task, TimePoint now)
 {
@@ -195,8 +212,8 @@
     if (spec.maxTasksPerHost > 0 && tasksOfStep(host, job.spec.id, step) >= spec.maxTasksPerHost) {
         return {.misfit = Misfit::TasksPerHost};
     }
-    const bool mayDisturb = fleet.isHalfEmpty && now - task.since >= disturbAfter;
-    const auto base = scoreOf(fleet, host, spec, job.steps[step].image, mayDisturb);
+    const PlacementPermits permits = permitsOf(fleet, spec, task, now);
+    const auto base = scoreOf(fleet, host, spec, job.steps[step].image, permits.disturb);
     if (!base) {
         return {.misfit = Misfit::Interference};
     }
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -42,6 +42,25 @@
 /// committed. Users say a half; the rest is for figures that are up to a second old.
 inline constexpr double halfEmptyBelow = 0.55;
 
+/// What a task may do that others of its step may not.
+struct PlacementPermits
+{
+    /// A batch task may run beside serving tasks that it disturbs.
+    bool disturb = false;
+};
+
+/// Returns what a task of @p step may do, however long it has waited. Precondition: rateOpenness()
+/// was called in this round. Thread-safe.
+PlacementPermits widestPermits(const FleetState &fleet, const StepSpec &step);
+
+/// Returns what @p task of @p step may do now. Precondition: rateOpenness() was called in this
+/// round. Thread-safe.
+PlacementPermits permitsOf(const FleetState &fleet, const StepSpec &step, const TaskRuntime &task,
+                           TimePoint now);
+
+/// Returns whether @p wide allows everything that @p narrow allows. Thread-safe.
+bool covers(const PlacementPermits &wide, const PlacementPermits &narrow);
+
 /// What keeps a task off a host.
 enum class Misfit : std::uint8_t {
     None,
--- a/packages/dispatch/roommemo.cpp
+++ b/packages/dispatch/roommemo.cpp
@@ -4,19 +4,21 @@
 
 namespace acaciadeal {
 
-RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step)
+RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step, const PlacementPermits &permits)
 {
     const StepSpec &spec = job.spec.steps[step];
     return {.service = job.spec.terms.service.value,
             .need = spec.taskSize,
             .backfill = spec.backfill,
-            .image = spec.backfill ? job.steps[step].image : ImageId(0)};
+            .image = spec.backfill ? job.steps[step].image : ImageId(0),
+            .permits = permits};
 }
 
 bool covers(const RoomRequest &wide, const RoomRequest &narrow)
 {
     return wide.backfill == narrow.backfill && wide.image == narrow.image
-           && fits(wide.need, narrow.need) && wide.service == narrow.service;
+           && covers(wide.permits, narrow.permits) && fits(wide.need, narrow.need)
+           && wide.service == narrow.service;
 }
 
 bool hasNoRoom(const RoomMemo &memo, const RoomRequest &request)
--- a/packages/dispatch/roommemo.h
+++ b/packages/dispatch/roommemo.h
@@ -1,7 +1,7 @@
 #ifndef ACACIADEAL_DISPATCH_ROOMMEMO_H
 #define ACACIADEAL_DISPATCH_ROOMMEMO_H
 
-#include "dispatch/fleetstate.h"
+#include "dispatch/placement.h"
 
 #include <string_view>
 #include <vector>
@@ -17,6 +17,7 @@
     bool backfill = false;
     /// Of a backfill task; 0 otherwise, as room for committed tasks does not depend on the image.
     ImageId image = 0;
+    PlacementPermits permits;
 };
 
 /// Most requests that a RoomMemo holds; older ones make room for newer ones.
@@ -30,9 +31,9 @@
     std::vector<RoomRequest> failed;
 };
 
-/// Returns what a task of @p job's step @p step asks for. Precondition: the job has the step.
-/// Thread-safe.
-RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step);
+/// Returns what a task of @p job's step @p step with @p permits asks for. Precondition: the job has
+/// the step. Thread-safe.
+RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step, const PlacementPermits &permits);
 
 /// Returns whether every host that suits @p narrow suits @p wide too, so that no host suits
 /// @p narrow if none suits @p wide. Thread-safe.
