Don't keep an old batch task back because a younger sibling found no host

Siblings differ in one thing that chooseHost() decides on: whether they may disturb serving tasks yet. Found by reading; not seen in a trace of the incident.

Later siblings are now tried if they have further permits, and the step is left early if the failed task had all that any task of it can have, as committed tasks always do. A request includes the label and the limit of tasks per host, so that failures of such steps are remembered for the steps that they hold for; before, each of these steps was searched for once a round.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -386,11 +386,6 @@
                              .waited = waited});
 }
 
-bool isPlain(const StepSpec &step)
-{
-    return step.requiredLabel.empty() && step.maxTasksPerHost == 0;
-}
-
 /// Which waiting tasks of a step may start.
 enum class StartRule : std::uint8_t { OverdueOnly, Any };
 
@@ -412,27 +407,32 @@
     JobRuntime &job = *ready.job;
     StepRuntime &step = job.steps[ready.step];
     const StepSpec &spec = job.spec.steps[ready.step];
-    if (hasNoRoom(noRoom, roomRequest(job, ready.step, widestPermits(dispatcher.fleet, spec)))) {
+    const PlacementPermits widest = widestPermits(dispatcher.fleet, spec);
+    if (hasNoRoom(noRoom, roomRequest(job, ready.step, widest))) {
         return;
     }
+    // Permits for which no host was found; tasks of a step differ in nothing else that matters.
+    std::optional<PlacementPermits> failed;
     for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
         TaskRuntime &task = step.tasks[n];
-        if (!mayStart(dispatcher, job, spec, task, rule, now)) {
+        const PlacementPermits permits = permitsOf(dispatcher.fleet, spec, task, now);
+        if ((failed && covers(*failed, permits))
+            || !mayStart(dispatcher, job, spec, task, rule, now)) {
             continue;
         }
-        const RoomRequest request =
-            roomRequest(job, ready.step, permitsOf(dispatcher.fleet, spec, task, now));
-        if (hasNoRoom(noRoom, request)) {
-            return;
+        const RoomRequest request = roomRequest(job, ready.step, permits);
+        FleetHost *const host = hasNoRoom(noRoom, request)
+                                    ? nullptr
+                                    : chooseHost(dispatcher.fleet, job, ready.step, task, now);
+        if (host != nullptr) {
+            startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
+            continue;
         }
-        FleetHost *const host = chooseHost(dispatcher.fleet, job, ready.step, task, now);
-        if (host == nullptr) {
-            if (isPlain(spec)) {
-                rememberNoRoom(noRoom, request);
-            }
+        rememberNoRoom(noRoom, request);
+        if (covers(permits, widest)) {
             return;
         }
-        startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
+        failed = permits;
     }
 }
 
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -363,3 +363,14 @@
     add(dispatcher, job("young", {batchStep(1, 1000)}), at(10) + disturbAfter);
     CHECK(startedTasks(dispatcher, at(20) + disturbAfter) == "old/0/0");
 }
+
+// The same among tasks of one step, of which the first has come back from a host.
+TEST_CASE("a batch task that may disturb is not kept back by a sibling that may not")
+{
+    Dispatcher dispatcher;
+    addDisturbedHost(dispatcher, "h");
+    add(dispatcher, job("j", {batchStep(2, 1000)}), at(0));
+    CHECK(startAll(dispatcher, at(10)).starts.empty());
+    findTask(dispatcher.fleet, key("j", 0))->since = at(10) + disturbAfter;
+    CHECK(startedTasks(dispatcher, at(20) + disturbAfter) == "j/0/1");
+}
--- a/packages/dispatch/roommemo.cpp
+++ b/packages/dispatch/roommemo.cpp
@@ -11,13 +11,17 @@
             .need = spec.taskSize,
             .backfill = spec.backfill,
             .image = spec.backfill ? job.steps[step].image : ImageId(0),
-            .permits = permits};
+            .permits = permits,
+            .requiredLabel = spec.requiredLabel,
+            .limitedStep = spec.maxTasksPerHost > 0 ? &job.steps[step] : nullptr};
 }
 
 bool covers(const RoomRequest &wide, const RoomRequest &narrow)
 {
     return wide.backfill == narrow.backfill && wide.image == narrow.image
            && covers(wide.permits, narrow.permits) && fits(wide.need, narrow.need)
+           && (wide.limitedStep == nullptr || wide.limitedStep == narrow.limitedStep)
+           && (wide.requiredLabel.empty() || wide.requiredLabel == narrow.requiredLabel)
            && wide.service == narrow.service;
 }
 
--- a/packages/dispatch/roommemo.h
+++ b/packages/dispatch/roommemo.h
@@ -18,6 +18,10 @@
     /// Of a backfill task; 0 otherwise, as room for committed tasks does not depend on the image.
     ImageId image = 0;
     PlacementPermits permits;
+    /// Owned by the job.
+    std::string_view requiredLabel;
+    /// Set if the tasks of the step are limited per host; only they count.
+    const StepRuntime *limitedStep = nullptr;
 };
 
 /// Most requests that a RoomMemo holds; older ones make room for newer ones.
