Look up failed requests by kind

No change of decisions. The list of failed requests mixed all services and images, which never cover each other; with many images its bound is reached, and entries that would still spare a search are dropped. It is now a list for each kind, with a bound of its own.

--- a/packages/dispatch/roommemo.cpp
+++ b/packages/dispatch/roommemo.cpp
@@ -7,10 +7,10 @@
 RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step, const PlacementPermits &permits)
 {
     const StepSpec &spec = job.spec.steps[step];
-    return {.service = job.spec.terms.service.value,
+    return {.kind = {.backfill = spec.backfill,
+                     .image = spec.backfill ? job.steps[step].image : ImageId(0),
+                     .service = job.spec.terms.service.value},
             .need = spec.taskSize,
-            .backfill = spec.backfill,
-            .image = spec.backfill ? job.steps[step].image : ImageId(0),
             .permits = permits,
             .requiredLabel = spec.requiredLabel,
             .limitedStep = spec.maxTasksPerHost > 0 ? &job.steps[step] : nullptr};
@@ -18,17 +18,18 @@
 
 bool covers(const RoomRequest &wide, const RoomRequest &narrow)
 {
-    return wide.backfill == narrow.backfill && wide.image == narrow.image
-           && covers(wide.permits, narrow.permits) && fits(wide.need, narrow.need)
+    return fits(wide.need, narrow.need) && covers(wide.permits, narrow.permits)
            && (wide.limitedStep == nullptr || wide.limitedStep == narrow.limitedStep)
            && (wide.requiredLabel.empty() || wide.requiredLabel == narrow.requiredLabel)
-           && wide.service == narrow.service;
+           && wide.kind == narrow.kind;
 }
 
 bool hasNoRoom(const RoomMemo &memo, const RoomRequest &request)
 {
-    return std::any_of(memo.failed.rbegin(), memo.failed.rend(),
-                       [&request](const RoomRequest &failed) { return covers(failed, request); });
+    const auto it = memo.failed.find(request.kind);
+    return it != memo.failed.end()
+           && std::any_of(it->second.begin(), it->second.end(),
+                          [&request](const RoomRequest &other) { return covers(other, request); });
 }
 
 void rememberNoRoom(RoomMemo &memo, const RoomRequest &request)
@@ -36,12 +37,12 @@
     if (hasNoRoom(memo, request)) {
         return;
     }
-    std::erase_if(memo.failed,
-                  [&request](const RoomRequest &failed) { return covers(request, failed); });
-    if (memo.failed.size() >= maxRoomMemoEntries) {
-        memo.failed.erase(memo.failed.begin());
+    std::vector<RoomRequest> &failed = memo.failed[request.kind];
+    std::erase_if(failed, [&request](const RoomRequest &other) { return covers(request, other); });
+    if (failed.size() >= maxRoomMemoEntries) {
+        failed.erase(failed.begin());
     }
-    memo.failed.push_back(request);
+    failed.push_back(request);
 }
 
 } // namespace acaciadeal
--- a/packages/dispatch/roommemo.h
+++ b/packages/dispatch/roommemo.h
@@ -3,20 +3,29 @@
 
 #include "dispatch/placement.h"
 
+#include <map>
 #include <string_view>
 #include <vector>
 
 namespace acaciadeal {
 
-/// What decides whether chooseHost() finds a host for a task.
-struct RoomRequest
+/// Requests that may cover each other.
+struct RoomKind
 {
-    /// Owned by the job.
-    std::string_view service;
-    Resources need;
     bool backfill = false;
     /// Of a backfill task; 0 otherwise, as room for committed tasks does not depend on the image.
     ImageId image = 0;
+    /// Owned by the job.
+    std::string_view service;
+
+    friend auto operator<=>(const RoomKind &, const RoomKind &) = default;
+};
+
+/// What decides whether chooseHost() finds a host for a task.
+struct RoomRequest
+{
+    RoomKind kind;
+    Resources need;
     PlacementPermits permits;
     /// Owned by the job.
     std::string_view requiredLabel;
@@ -24,15 +33,15 @@
     const StepRuntime *limitedStep = nullptr;
 };
 
-/// Most requests that a RoomMemo holds; older ones make room for newer ones.
-inline constexpr std::size_t maxRoomMemoEntries = 64;
+/// Most requests of a kind that a RoomMemo holds; older ones make room for newer ones.
+inline constexpr std::size_t maxRoomMemoEntries = 16;
 
 /// Requests for which no host was found in one round of decisions. Spares the search for the many
 /// tasks that wait for the same kind of room. Valid while hosts only lose room. Not thread-safe.
 struct RoomMemo
 {
     /// None covers another one.
-    std::vector<RoomRequest> failed;
+    std::map<RoomKind, std::vector<RoomRequest>> failed;
 };
 
 /// Returns what a task of @p job's step @p step with @p permits asks for. Precondition: the job has
