Check that no task is left waiting while a host suits it

Random fleets and jobs (memory, accelerators, services, labels, limits per host, images, old and young tasks): once a round starts nothing more, chooseHost() must find no host for any waiting task.

A batch task beside a serving one counts with the idle processors it would get, so that a start of another task may lower the pressure it adds to just below the bound. The task that was tried first is in the same position, and the next round starts it.

--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -2,7 +2,9 @@
 
 #include "dispatch/placement.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace acaciadeal;
 
@@ -374,3 +376,72 @@
     findTask(dispatcher.fleet, key("j", 0))->since = at(10) + disturbAfter;
     CHECK(startedTasks(dispatcher, at(20) + disturbAfter) == "j/0/1");
 }
+
+// Guards against harmless batch tasks that wait because of others that disturb serving tasks.
+TEST_CASE("a batch task is not kept back by one with another image")
+{
+    Dispatcher dispatcher;
+    addDisturbedHost(dispatcher, "h");
+    InterferenceModel &model = dispatcher.fleet.interference;
+    setSlope(model, imageId(model, "serving"), imageId(model, "harmless"), {.value = 0});
+    add(dispatcher, job("disturbing", {batchStep(1, 1000)}), at(10));
+    StepSpec harmless = batchStep(1, 1000);
+    harmless.image = "harmless";
+    add(dispatcher, behind(job("harmless", {harmless})), at(10));
+    CHECK(startedTasks(dispatcher, at(10)) == "harmless/0/0");
+}
+
+// Guards against any shortcut that passes over a task for which a host has room.
+TEST_CASE("no task that may start is left waiting while a host suits it")
+{
+    std::mt19937 random(20261204);
+    const auto draw = [&random](int below) {
+        return static_cast<int>(random() % static_cast<unsigned>(below));
+    };
+    for (int round = 0; round < 300; ++round) {
+        CAPTURE(round);
+        Dispatcher dispatcher;
+        addDisturbedHost(dispatcher, "h0");
+        for (int n = 1; n < 4; ++n) {
+            addHost(dispatcher, "h" + std::to_string(n));
+            FleetHost &host = dispatcher.fleet.hosts[{"h" + std::to_string(n)}];
+            host.capacity.memoryMiB = 1000 * (4 + draw(12));
+            host.capacity.accelerators = draw(3);
+            host.service = {draw(3) == 0 ? "other" : "svc"};
+            if (draw(2) == 0) {
+                host.labels = {"disk"};
+            }
+        }
+        const TimePoint now = at(10) + disturbAfter;
+        for (int n = 0; n < 12; ++n) {
+            const auto tasks = static_cast<std::uint32_t>(1 + draw(4));
+            StepSpec spec = draw(2) == 0 ? batchStep(tasks, 500 * (1 + draw(6)))
+                                         : step(tasks, 500 * (1 + draw(6)));
+            spec.image = std::array{"serving", "batch", "light"}[static_cast<std::size_t>(draw(3))];
+            spec.taskSize.memoryMiB = 1000 * (1 + draw(5));
+            spec.taskSize.accelerators = draw(4) == 0 ? 1 : 0;
+            spec.requiredLabel = draw(4) == 0 ? "disk" : "";
+            spec.maxTasksPerHost = draw(4) == 0 ? 1 : 0;
+            JobSpec added = job("j" + std::to_string(n), {spec});
+            added.terms.priority = draw(2);
+            added.terms.service = {draw(3) == 0 ? "other" : "svc"};
+            add(dispatcher, added, now);
+            for (TaskRuntime &task : findJob(dispatcher.fleet, added.id)->steps[0].tasks) {
+                task.since = draw(2) == 0 ? now : start;
+            }
+        }
+        // A start may make room for a batch task that was tried before: with fewer idle processors
+        // it disturbs less. The next round starts it.
+        bool changed = true;
+        while (changed) {
+            changed = !startAll(dispatcher, now).starts.empty();
+        }
+        for (const JobRuntime *const waiting : dispatcher.fleet.live) {
+            for (const TaskRuntime &task : waiting->steps[0].tasks) {
+                if (task.phase == TaskPhase::Waiting) {
+                    CHECK(chooseHost(dispatcher.fleet, *waiting, 0, task, now) == nullptr);
+                }
+            }
+        }
+    }
+}
--- a/packages/dispatch/roommemo.h
+++ b/packages/dispatch/roommemo.h
@@ -37,7 +37,9 @@
 inline constexpr std::size_t maxRoomMemoEntries = 16;
 
 /// Requests for which no host was found in one round of decisions. Spares the search for the many
-/// tasks that wait for the same kind of room. Valid while hosts only lose room. Not thread-safe.
+/// tasks that wait for the same kind of room. Valid while hosts only lose room. The exception, a
+/// batch task that disturbs less once others have taken idle processors, is left to the next round.
+/// Not thread-safe.
 struct RoomMemo
 {
     /// None covers another one.
