Make the use of avoided hosts a permit of the room memo

Without it a young long-running task that finds no host would keep an older one of its step off an avoided host, the fault that the memo had with batch tasks that may disturb. The new test covers that case.

--- a/packages/dispatch/avoidedhost_test.cpp
+++ b/packages/dispatch/avoidedhost_test.cpp
@@ -150,6 +150,22 @@
     CHECK(*started - at(10000) < acceptedWait);
 }
 
+// Guards against a task that may use an avoided host and is kept back by one that may not yet.
+TEST_CASE("a long-running task is not kept back because a younger one finds no host")
+{
+    Fleet fleet(1);
+    fleet.failRunsOn({"h0"}, 5, at(0));
+    StepSpec step = longStep();
+    step.tasks = 2;
+    fleet.submit("long", step, at(0));
+    TaskRuntime *const young = findTask(fleet.dispatcher.fleet, {.job = {"long"}});
+    REQUIRE(young != nullptr);
+    young->since = at(1400);
+    const std::vector<StartRun> starts = fleet.planAt(at(1500));
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task.index == 1);
+}
+
 // Guards against a job that waits in an idle fleet because the few hosts with its label are
 // avoided.
 TEST_CASE("a short task is not kept away from an avoided host in an idle fleet")
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -92,16 +92,6 @@
            + idle / capacity;
 }
 
-/// Returns whether a task may run on a host that is avoided: where waiting beside free room harms
-/// its caller more than a run that may fail.
-bool mayTryAvoided(const FleetState &fleet, const StepSpec &step, const TaskRuntime &task,
-                   TimePoint now)
-{
-    const Duration waited = now - task.since;
-    return step.longRunning ? waited >= tryAvoidedAfter
-                            : fleet.isHalfEmpty && waited >= disturbAfter;
-}
-
 /// Precondition: the host has room.
 std::optional<double> scoreOf(const FleetState &fleet, const FleetHost &host, const StepSpec &step,
                               ImageId image, bool mayDisturb)
@@ -184,19 +174,25 @@
 
 PlacementPermits widestPermits(const FleetState &fleet, const StepSpec &step)
 {
-    return {.disturb = step.backfill && fleet.isHalfEmpty};
+    // A host that fails everything looks empty. In a full fleet it would use up the attempts of
+    // short tasks; failed runs of long-running ones are not counted.
+    return {.disturb = step.backfill && fleet.isHalfEmpty,
+            .tryAvoided = step.longRunning || fleet.isHalfEmpty};
 }
 
 PlacementPermits permitsOf(const FleetState &fleet, const StepSpec &step, const TaskRuntime &task,
                            TimePoint now)
 {
     const PlacementPermits widest = widestPermits(fleet, step);
-    return {.disturb = widest.disturb && now - task.since >= disturbAfter};
+    const Duration waited = now - task.since;
+    return {.disturb = widest.disturb && waited >= disturbAfter,
+            .tryAvoided =
+                widest.tryAvoided && waited >= (step.longRunning ? tryAvoidedAfter : disturbAfter)};
 }
 
 bool covers(const PlacementPermits &wide, const PlacementPermits &narrow)
 {
-    return wide.disturb || !narrow.disturb;
+    return (wide.disturb || !narrow.disturb) && (wide.tryAvoided || !narrow.tryAvoided);
 }
 
 HostRating rateHost(const FleetState &fleet, const FleetHost &host, const JobRuntime &job,
@@ -219,7 +215,7 @@
     }
     double score = *base;
     if (now < host.avoidUntil) {
-        if (!mayTryAvoided(fleet, spec, task, now)) {
+        if (!permits.tryAvoided) {
             return {.misfit = Misfit::Avoided};
         }
         score -= avoidedPenalty;
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -47,6 +47,8 @@
 {
     /// A batch task may run beside serving tasks that it disturbs.
     bool disturb = false;
+    /// A task may run on a host that is avoided, if no other has room.
+    bool tryAvoided = false;
 };
 
 /// Returns what a task of @p step may do, however long it has waited. Precondition: rateOpenness()
