Simulate a fleet to test restarts of long-running tasks

Samples of the hosts' true state are held against the users' rule.

Cause, as far as the simulation shows it: the room is on hosts that are on probation after two failures in a row. hasRoomTwice() counts it and chooseHost() refuses it, so the overdue task waits until the probation of 4 s is over, which is longer than the 3 s that the rule allows.

--- /dev/null
+++ b/packages/dispatch/fleetsimulation.cpp
@@ -0,0 +1,617 @@
+#include "dispatch/fleetsimulation.h"
+
+#include "dispatch/simulatedload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <iomanip>
+#include <queue>
+#include <sstream>
+#include <utility>
+
+namespace acaciadeal {
+namespace {
+
+using std::chrono::seconds;
+
+const TimePoint startOfTime = TimePoint(std::chrono::hours(1));
+
+/// Hosts at the start.
+constexpr int hostCount = 48;
+/// One host in three is the larger one.
+constexpr Resources smallHost{.milliCores = 16000, .memoryMiB = 64000};
+constexpr Resources largeHost{.milliCores = 24000, .memoryMiB = 96000};
+
+/// Long-running jobs at the start.
+constexpr int initialJobs = 37;
+/// The long-running jobs arrive more often for a while.
+constexpr double burstFactor = 9.0;
+constexpr Duration burstFrom = seconds(1);
+constexpr Duration burstUntil = seconds(10);
+/// Jobs per second.
+constexpr double urgentRate = 22.0;
+constexpr double batchRate = 12.0;
+constexpr double longRunningRate = 0.62;
+/// Mean time from the submission of a long-running job to its cancellation.
+constexpr Duration meanLife = seconds(70);
+
+/// One way between the holder and a host: its shortest time and the mean of what comes on top.
+constexpr Duration wayTime = milliseconds(1);
+constexpr Duration wayJitter = std::chrono::microseconds(400);
+/// Write of progress: its shortest time and the mean of what comes on top.
+constexpr Duration writeTime = milliseconds(6);
+constexpr Duration writeJitter = milliseconds(2);
+/// Time for which ends are gathered before a write; the shorter one if a job has ended.
+constexpr Duration flushDelay = milliseconds(60);
+constexpr Duration urgentFlushDelay = milliseconds(4);
+/// From an event to the round of decisions that takes it into account.
+constexpr Duration planDelay = milliseconds(5);
+/// Time after which a host answers a renewal although no run has ended.
+constexpr Duration renewalWait = milliseconds(450);
+/// Delay before a host is asked again whose ends are still being stored.
+constexpr Duration hostRetry = milliseconds(200);
+/// Mean time between pauses in which the holder gets no processor time, and their lengths.
+constexpr Duration pauseEvery = milliseconds(400);
+constexpr Duration shortestPause = milliseconds(20);
+constexpr Duration longestPause = milliseconds(50);
+/// Time after which a start order without an answer counts as uncertain.
+constexpr Duration startTimeout = milliseconds(200);
+/// From a host's silence until its renewals time out, and until its lease has lapsed.
+constexpr Duration silenceNoticed = milliseconds(900);
+constexpr Duration leaseLapses = milliseconds(6200);
+
+/// Time between samples of the hosts' true state.
+constexpr Duration sampleEvery = milliseconds(500);
+
+struct SimulatedRun
+{
+    std::uint64_t run = 0;
+    Resources size;
+    TimePoint startedAt;
+    /// Time that its work takes.
+    Duration length{0};
+};
+
+/// The true state of a host, and of the holder's renewals with it.
+struct SimulatedHost
+{
+    HostId id;
+    Resources capacity;
+    /// Batch tasks use processors that others leave idle, so only their memory counts.
+    Resources used;
+    std::map<TaskKey, SimulatedRun> runs;
+    std::vector<RunEnding> ended;
+    std::uint64_t endCount = 0;
+    bool dark = false;
+    /// Whether a renewal is on its way, waits at the host or is being answered.
+    bool renewing = false;
+    TimePoint renewalSentAt;
+    /// Whether the renewal waits at the host for the end of a run.
+    bool waitsForEnds = false;
+    /// Renewals that were answered.
+    std::uint64_t renewals = 0;
+};
+
+struct Event
+{
+    TimePoint at;
+    /// Order of events at the same time.
+    std::uint64_t number = 0;
+    /// Whether it waits while the holder pauses.
+    bool atHolder = false;
+    std::function<void()> run;
+};
+
+struct IsLater
+{
+    bool operator()(const Event &a, const Event &b) const
+    {
+        return std::pair(a.at, a.number) > std::pair(b.at, b.number);
+    }
+};
+
+struct Simulation
+{
+    FleetSimulationOptions options;
+    Random random;
+    TimePoint now = startOfTime;
+    std::priority_queue<Event, std::vector<Event>, IsLater> events;
+    std::uint64_t eventCount = 0;
+    Dispatcher dispatcher;
+    TimePoint holderPausedUntil;
+    bool planScheduled = false;
+    bool writing = false;
+    std::optional<TimePoint> flushDue;
+    std::map<HostId, SimulatedHost> hosts;
+    std::map<JobId, SimulatedJob> jobs;
+    /// Tasks that have failed by their own fault; they succeed from then on.
+    std::set<TaskKey> failedOnce;
+    RestartWatch watch;
+    int jobCount = 0;
+    int hostNumber = 0;
+    Duration urgentWait{0};
+    int urgentStarts = 0;
+    FleetSimulationResult result;
+};
+
+void post(Simulation &sim, Duration delay, std::function<void()> run)
+{
+    sim.events.push({sim.now + delay, ++sim.eventCount, false, std::move(run)});
+}
+
+void postToHolder(Simulation &sim, Duration delay, std::function<void()> run)
+{
+    sim.events.push({sim.now + delay, ++sim.eventCount, true, std::move(run)});
+}
+
+Duration onTheWay(Simulation &sim)
+{
+    return wayTime + exponential(sim.random, wayJitter);
+}
+
+/// Returns the host, or nullptr if it is dark.
+SimulatedHost *findSimulated(Simulation &sim, const HostId &id)
+{
+    const auto it = sim.hosts.find(id);
+    return it == sim.hosts.end() || it->second.dark ? nullptr : &it->second;
+}
+
+Resources committedSize(const StepSpec &step)
+{
+    return step.backfill ? Resources{.memoryMiB = step.taskSize.memoryMiB} : step.taskSize;
+}
+
+void renew(Simulation &sim, SimulatedHost &host, Duration wait);
+void planSoon(Simulation &sim);
+void flushSoon(Simulation &sim);
+
+void renewNext(Simulation &sim, SimulatedHost &host)
+{
+    const FleetHost *const known = findHost(sim.dispatcher.fleet, host.id);
+    if (known == nullptr || host.renewing || host.dark) {
+        return;
+    }
+    if (known->seenEnd == known->durableEnd) {
+        renew(sim, host, renewalWait);
+        return;
+    }
+    // A renewal would return at once with the same ends; their write is on its way.
+    postToHolder(sim, hostRetry, [&sim, id = host.id, renewals = host.renewals] {
+        SimulatedHost *const later = findSimulated(sim, id);
+        if (later != nullptr && !later->renewing && later->renewals == renewals) {
+            renew(sim, *later, Duration(0));
+        }
+    });
+}
+
+void flush(Simulation &sim)
+{
+    FleetState &fleet = sim.dispatcher.fleet;
+    const bool writes = !fleet.dirty.empty();
+    fleet.dirty.clear();
+    std::map<HostId, std::uint64_t> ends;
+    for (const auto &[id, host] : fleet.hosts) {
+        ends[id] = host.seenEnd;
+    }
+    sim.writing = true;
+    const Duration took = writes ? writeTime + exponential(sim.random, writeJitter) : Duration(0);
+    postToHolder(sim, took, [&sim, ends] {
+        sim.writing = false;
+        for (const auto &[id, number] : ends) {
+            if (FleetHost *const host = findHost(sim.dispatcher.fleet, id)) {
+                host->durableEnd = std::max(host->durableEnd, number);
+            }
+        }
+        flushSoon(sim);
+        for (auto &[id, host] : sim.hosts) {
+            renewNext(sim, host);
+        }
+    });
+}
+
+void flushSoon(Simulation &sim)
+{
+    FleetState &fleet = sim.dispatcher.fleet;
+    const bool clean = fleet.dirty.empty()
+                       && std::all_of(fleet.hosts.begin(), fleet.hosts.end(), [](const auto &it) {
+                              return it.second.seenEnd == it.second.durableEnd;
+                          });
+    if (sim.writing || clean) {
+        return;
+    }
+    const bool urgent =
+        std::any_of(fleet.dirty.begin(), fleet.dirty.end(), [&fleet](const JobId &id) {
+            const JobRuntime *const job = findJob(fleet, id);
+            return job != nullptr && isTerminal(job->progress.outcome);
+        });
+    const Duration delay = urgent ? urgentFlushDelay : flushDelay;
+    const TimePoint due = sim.now + delay;
+    if (sim.flushDue && *sim.flushDue <= due) {
+        return;
+    }
+    sim.flushDue = due;
+    postToHolder(sim, delay, [&sim, due] {
+        if (sim.flushDue == due) {
+            sim.flushDue.reset();
+            flush(sim);
+        }
+    });
+}
+
+void afterEvent(Simulation &sim)
+{
+    for (const Finding &finding : std::exchange(sim.dispatcher.findings, {})) {
+        sim.result.probations += finding.kind == Finding::Kind::HostAvoided ? 1 : 0;
+    }
+    flushSoon(sim);
+    planSoon(sim);
+}
+
+HostReport reportOf(const Simulation &sim, const SimulatedHost &host)
+{
+    HostReport report{.ended = host.ended};
+    for (const auto &[key, run] : host.runs) {
+        const StepSpec &step = sim.jobs.at(key.job).spec.steps[key.step];
+        const double share = std::chrono::duration<double>(sim.now - run.startedAt) / run.length;
+        report.active.push_back(
+            {.task = key,
+             .run = run.run,
+             .percent = step.longRunning ? 100 : static_cast<int>(std::min(share, 0.99) * 100),
+             .load = step.longRunning ? tailOf(step, sim.now - run.startedAt)
+                                      : static_cast<double>(step.taskSize.milliCores)});
+    }
+    return report;
+}
+
+void answerRenewal(Simulation &sim, SimulatedHost &host)
+{
+    host.waitsForEnds = false;
+    ++host.renewals;
+    postToHolder(sim, onTheWay(sim), [&sim, id = host.id, report = reportOf(sim, host)] {
+        SimulatedHost *const later = findSimulated(sim, id);
+        if (later == nullptr) {
+            return;
+        }
+        later->renewing = false;
+        takeReport(sim.dispatcher, id, report, later->renewalSentAt, true, sim.now);
+        afterEvent(sim);
+        renewNext(sim, *later);
+    });
+}
+
+void renew(Simulation &sim, SimulatedHost &host, Duration wait)
+{
+    host.renewing = true;
+    host.renewalSentAt = sim.now;
+    const std::uint64_t acknowledged = findHost(sim.dispatcher.fleet, host.id)->durableEnd;
+    post(sim, onTheWay(sim), [&sim, id = host.id, wait, acknowledged] {
+        SimulatedHost *const later = findSimulated(sim, id);
+        if (later == nullptr) {
+            return;
+        }
+        std::erase_if(later->ended,
+                      [acknowledged](const RunEnding &end) { return end.number <= acknowledged; });
+        if (!later->ended.empty()) {
+            answerRenewal(sim, *later);
+            return;
+        }
+        later->waitsForEnds = true;
+        post(sim, wait, [&sim, id, renewals = later->renewals] {
+            SimulatedHost *const waiting = findSimulated(sim, id);
+            if (waiting != nullptr && waiting->waitsForEnds && waiting->renewals == renewals) {
+                answerRenewal(sim, *waiting);
+            }
+        });
+    });
+}
+
+void endRun(Simulation &sim, const HostId &id, const TaskKey &task, std::uint64_t run, RunEnd end)
+{
+    SimulatedHost *const host = findSimulated(sim, id);
+    if (host == nullptr) {
+        return;
+    }
+    const auto it = host->runs.find(task);
+    if (it == host->runs.end() || it->second.run != run) {
+        return;
+    }
+    host->used = host->used - it->second.size;
+    host->runs.erase(it);
+    host->ended.push_back({.number = ++host->endCount, .task = task, .run = run, .end = end});
+    noteRunEnd(sim.watch, task, false, sim.now);
+    if (host->waitsForEnds) {
+        answerRenewal(sim, *host);
+    }
+}
+
+void beginRun(Simulation &sim, SimulatedHost &host, const StartRun &order)
+{
+    const SimulatedJob &job = sim.jobs.at(order.task.job);
+    const StepSpec &step = job.spec.steps[order.task.step];
+    const SimulatedRun run{.run = order.run,
+                           .size = committedSize(step),
+                           .startedAt = sim.now,
+                           .length = drawRunTime(sim.random, job, order.task.step)};
+    host.runs.insert_or_assign(order.task, run);
+    host.used = host.used + run.size;
+    ++sim.result.starts;
+    if (!fits(host.used, host.capacity)) {
+        ++sim.result.overCommitments;
+    }
+    if (step.longRunning && !job.cancelled) {
+        noteRunStart(sim.watch, order.task, step, sim.now);
+    }
+    const bool hopeless =
+        sim.options.runsFail && job.hopeless && order.task.step == 0 && order.task.index == 0;
+    const bool fails = hopeless
+                       || (sim.options.runsFail && chance(sim.random, failShareOf(job.kind))
+                           && sim.failedOnce.insert(order.task).second);
+    if (fails || !step.longRunning) {
+        const Duration length = fails ? scaled(run.length, uniform(sim.random)) : run.length;
+        post(sim, length, [&sim, id = host.id, task = order.task, number = run.run, fails] {
+            endRun(sim, id, task, number, fails ? RunEnd::Failed : RunEnd::Done);
+        });
+    }
+}
+
+void sendStart(Simulation &sim, const StartRun &order)
+{
+    post(sim, onTheWay(sim), [&sim, order] {
+        SimulatedHost *const host = findSimulated(sim, order.host);
+        const bool arrived = host != nullptr;
+        if (arrived) {
+            beginRun(sim, *host, order);
+        }
+        postToHolder(sim, arrived ? onTheWay(sim) : startTimeout, [&sim, order, arrived] {
+            takeStartOutcome(sim.dispatcher, order,
+                             arrived ? StartOutcome::Started : StartOutcome::Unknown, sim.now);
+        });
+    });
+}
+
+void planNow(Simulation &sim)
+{
+    const Orders orders = planWatched(sim.watch, sim.dispatcher, sim.now);
+    for (const StopRun &order : orders.stops) {
+        post(sim, onTheWay(sim),
+             [&sim, order] { endRun(sim, order.host, order.task, order.run, RunEnd::Stopped); });
+    }
+    for (const StartRun &order : orders.starts) {
+        if (sim.jobs.at(order.task.job).kind == JobKind::Urgent && order.task.step == 0
+            && !sim.failedOnce.contains(order.task)) {
+            sim.urgentWait += order.waited;
+            ++sim.urgentStarts;
+        }
+        sendStart(sim, order);
+    }
+}
+
+void planSoon(Simulation &sim)
+{
+    if (std::exchange(sim.planScheduled, true)) {
+        return;
+    }
+    postToHolder(sim, planDelay, [&sim] {
+        sim.planScheduled = false;
+        planNow(sim);
+    });
+}
+
+void submitJob(Simulation &sim, JobKind kind)
+{
+    SimulatedJob job = drawJob(sim.random, kind, ++sim.jobCount);
+    const JobId id = job.spec.id;
+    addJob(sim.dispatcher, job.spec, emptyProgress(job.spec), 0, false, sim.now);
+    sim.jobs.emplace(id, std::move(job));
+    afterEvent(sim);
+    if (kind == JobKind::LongRunning) {
+        postToHolder(sim, exponential(sim.random, meanLife), [&sim, id] {
+            sim.jobs.at(id).cancelled = true;
+            noteJobEnd(sim.watch, id, sim.now);
+            cancelJob(sim.dispatcher, id, sim.now);
+            afterEvent(sim);
+        });
+    }
+}
+
+double rateOf(const Simulation &sim, JobKind kind)
+{
+    const Duration time = sim.now - startOfTime;
+    switch (kind) {
+    case JobKind::Urgent:
+        return urgentRate;
+    case JobKind::Batch:
+        return batchRate * sim.options.batchShare;
+    case JobKind::LongRunning:
+        break;
+    }
+    return longRunningRate * (time >= burstFrom && time < burstUntil ? burstFactor : 1.0);
+}
+
+void submitLater(Simulation &sim, JobKind kind)
+{
+    // The rate changes within seconds; drawing again after at most a tenth follows it.
+    const Duration longest = milliseconds(100);
+    const double rate = rateOf(sim, kind);
+    const Duration wait =
+        rate > 0 ? exponential(sim.random, scaled(seconds(1), 1.0 / rate)) : 2 * longest;
+    const bool submits = wait < longest;
+    postToHolder(sim, std::min(wait, longest), [&sim, kind, submits] {
+        if (submits) {
+            submitJob(sim, kind);
+        }
+        submitLater(sim, kind);
+    });
+}
+
+void addHost(Simulation &sim, const Resources &capacity)
+{
+    const HostId id{"host" + std::to_string(++sim.hostNumber)};
+    sim.dispatcher.fleet.hosts[id] = {.id = id,
+                                      .service = simulatedService,
+                                      .capacity = capacity,
+                                      .listed = true,
+                                      .reported = true,
+                                      .reachable = true};
+    SimulatedHost &host = sim.hosts[id];
+    host.id = id;
+    host.capacity = capacity;
+    sim.watch.fleetChangedAt = sim.now;
+    renew(sim, host, renewalWait);
+    planSoon(sim);
+}
+
+void darken(Simulation &sim, SimulatedHost &host, Duration length)
+{
+    host.dark = true;
+    for (const auto &[task, run] : host.runs) {
+        noteRunEnd(sim.watch, task, true, sim.now);
+    }
+    sim.watch.fleetChangedAt = sim.now;
+    postToHolder(sim, silenceNoticed,
+                 [&sim, id = host.id] { findHost(sim.dispatcher.fleet, id)->reachable = false; });
+    postToHolder(sim, leaseLapses, [&sim, id = host.id] {
+        loseRuns(sim.dispatcher, id, "the host is silent and its lease has lapsed", sim.now);
+        sim.dispatcher.fleet.hosts.erase(id);
+        afterEvent(sim);
+    });
+    postToHolder(sim, length, [&sim, capacity = host.capacity] { addHost(sim, capacity); });
+}
+
+void beginOutage(Simulation &sim, const Outage &outage)
+{
+    std::vector<SimulatedHost *> candidates;
+    for (auto &[id, host] : sim.hosts) {
+        if (!host.dark) {
+            candidates.push_back(&host);
+        }
+    }
+    auto left = static_cast<std::size_t>(
+        std::lround(outage.share * static_cast<double>(candidates.size())));
+    for (; left > 0; --left) {
+        const auto n =
+            static_cast<std::size_t>(uniform(sim.random) * static_cast<double>(candidates.size()));
+        darken(sim, *candidates[n], outage.length);
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+}
+
+int truePlaces(const Simulation &sim, const TaskKey &task, const StepSpec &step)
+{
+    int n = 0;
+    for (const auto &[id, host] : sim.hosts) {
+        if (!host.dark) {
+            n += placesBeside(host.runs, host.capacity - host.used, task, step);
+        }
+    }
+    return n;
+}
+
+void sampleLater(Simulation &sim)
+{
+    post(sim, sampleEvery, [&sim] {
+        sampleAbsences(
+            sim.watch,
+            [&sim](const TaskKey &task, const StepSpec &step) {
+                return truePlaces(sim, task, step);
+            },
+            sim.now);
+        sampleLater(sim);
+    });
+}
+
+void pauseHolder(Simulation &sim)
+{
+    post(sim, exponential(sim.random, pauseEvery), [&sim] {
+        sim.holderPausedUntil =
+            sim.now + shortestPause + scaled(longestPause - shortestPause, uniform(sim.random));
+        pauseHolder(sim);
+    });
+}
+
+void runUntil(Simulation &sim, TimePoint end)
+{
+    while (!sim.events.empty() && sim.events.top().at <= end) {
+        Event event = sim.events.top();
+        sim.events.pop();
+        sim.now = event.at;
+        if (event.atHolder && sim.now < sim.holderPausedUntil) {
+            event.at = sim.holderPausedUntil;
+            sim.events.push(std::move(event));
+            continue;
+        }
+        event.run();
+    }
+    sim.now = end;
+}
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double toSeconds(TimePoint time)
+{
+    return toSeconds(time - startOfTime);
+}
+
+std::ostream &operator<<(std::ostream &out, const CountRange &range)
+{
+    return out << range.lowest << " to " << range.highest;
+}
+
+} // namespace
+
+FleetSimulationResult simulateFleet(const FleetSimulationOptions &options)
+{
+    Simulation sim{.options = options, .random = Random(options.seed)};
+    for (int n = 0; n < hostCount; ++n) {
+        addHost(sim, n % 3 == 2 ? largeHost : smallHost);
+    }
+    for (int n = 0; n < initialJobs; ++n) {
+        submitJob(sim, JobKind::LongRunning);
+    }
+    for (const JobKind kind : {JobKind::Urgent, JobKind::Batch, JobKind::LongRunning}) {
+        submitLater(sim, kind);
+    }
+    for (const Outage &outage : options.outages) {
+        post(sim, outage.at, [&sim, &outage] { beginOutage(sim, outage); });
+    }
+    pauseHolder(sim);
+    sampleLater(sim);
+    runUntil(sim, startOfTime + options.length);
+    sim.result.meanUrgentWait = sim.urgentWait / std::max(sim.urgentStarts, 1);
+    sim.result.lateRestarts = std::move(sim.watch.late);
+    sim.result.longestAway = sim.watch.longestAway;
+    return std::move(sim.result);
+}
+
+std::string describe(const LateRestart &late)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(2) << describe(late.task) << ": ended "
+        << toSeconds(late.endedAt) << " s, due " << toSeconds(late.dueAt) << " s, ";
+    if (late.restartedAt) {
+        out << "started again " << toSeconds(*late.restartedAt) << " s";
+    } else {
+        out << "not started again";
+    }
+    out << "; places " << late.truePlaces << ", believed " << late.believedPlaces
+        << ", not on probation " << late.openPlaces << "; " << late.rounds << " rounds, "
+        << late.roundsWithOneOpen << " with one place not on probation, " << late.roundsWithTwoOpen
+        << " with two; " << late.placesTaken << " taken by others";
+    return out.str();
+}
+
+std::string describe(const FleetSimulationResult &result)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1) << "late restarts " << result.lateRestarts.size()
+        << ", longest away " << toSeconds(result.longestAway) << " s, mean urgent wait "
+        << std::chrono::duration_cast<milliseconds>(result.meanUrgentWait).count()
+        << " ms, probations " << result.probations << ", starts " << result.starts;
+    return out.str();
+}
+
+} // namespace acaciadeal
