Take a task as done when a run that was given up ends as done

Cause: a host that is cut off finishes a task under its lease; the holder gives the run up and starts another; the cut heals and the host lists the end as done. takeEnd() took note of it, so that the host forgot it, but dropped it because another run was the task's current one. The step went on waiting for that one, and the next step did not open.

Fix: the first run that ends as done makes its task done, whichever it is. A run that was started since is stopped and occupies its host until it ends; its failure is not counted. A task that waits again is taken off the queue.

Three tests failed before, or would start the task again: 'a task is done when a run that was given up ends as done' with 0 starts instead of 1, 'a run whose task is done elsewhere occupies its host until it ends', 'a waiting task is done when an earlier run of it ends as done'. Why the new runs stood still is another fault.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -35,7 +35,13 @@
     }
 }
 
-/// Frees the host and lets the task wait again. The checkpoint of the run is kept.
+bool isTaskDone(const JobRuntime &job, const TaskKey &task)
+{
+    return job.progress.steps[task.step].done[task.index];
+}
+
+/// Frees the host and lets the task wait again, unless it is done. The checkpoint of the run is
+/// kept.
 void returnToWaiting(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
                      TimePoint now)
 {
@@ -57,6 +63,10 @@
     task.pace = 100;
     task.wasPaced = false;
     task.isWhole = false;
+    if (isTaskDone(job, key)) {
+        task.phase = TaskPhase::Done;
+        --job.steps[key.step].waiting;
+    }
 }
 
 void endJob(Dispatcher &dispatcher, JobRuntime &job, JobState outcome, const std::string &reason,
@@ -74,12 +84,9 @@
     note(dispatcher, {.kind = Finding::Kind::JobEnded, .job = job.spec.id, .reason = reason});
 }
 
-void completeTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
-                  TimePoint now)
+/// Records that a task is done, and what follows for its step and job.
+void recordDone(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TimePoint now)
 {
-    returnToWaiting(dispatcher, job, key, task, now);
-    task.phase = TaskPhase::Done;
-    --job.steps[key.step].waiting;
     StepProgress &progress = job.progress.steps[key.step];
     progress.done[key.index] = true;
     dispatcher.fleet.dirty.insert(job.spec.id);
@@ -87,12 +94,10 @@
         // One end stands for all members.
         for (std::uint32_t n = 0; n < progress.done.size(); ++n) {
             TaskRuntime &member = job.steps[key.step].tasks[n];
-            if (member.phase != TaskPhase::Done) {
+            if (n != key.index && member.phase != TaskPhase::Done) {
                 progress.done[n] = true;
                 returnToWaiting(dispatcher, job, {key.job, key.occurrence, key.step, n}, member,
                                 now);
-                member.phase = TaskPhase::Done;
-                --job.steps[key.step].waiting;
             }
         }
     }
@@ -109,6 +114,14 @@
     }
 }
 
+void completeTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
+                  TimePoint now)
+{
+    job.progress.steps[key.step].done[key.index] = true;
+    returnToWaiting(dispatcher, job, key, task, now);
+    recordDone(dispatcher, job, key, now);
+}
+
 void failTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
               TimePoint now)
 {
@@ -120,7 +133,8 @@
 /// Counts a failed run, once, whether the task has been started again since or not.
 void countFailure(Dispatcher &dispatcher, JobRuntime &job, const RunEnding &ended, TimePoint now)
 {
-    if (stepOf(job, ended.task).longRunning || isTerminal(job.progress.outcome)) {
+    if (stepOf(job, ended.task).longRunning || isTerminal(job.progress.outcome)
+        || isTaskDone(job, ended.task)) {
         return;
     }
     auto &runs = job.progress.steps[ended.task.step].failedRuns[ended.task.index];
@@ -198,6 +212,15 @@
     // again.
     const bool inherited = task->phase == TaskPhase::Waiting && ended.run >= task->run;
     if (!current && !inherited) {
+        const bool finishedFirst = ended.end == RunEnd::Done && task->phase != TaskPhase::Done
+                                   && !stepOf(*job, ended.task).longRunning;
+        if (finishedFirst && task->phase == TaskPhase::Waiting) {
+            completeTask(dispatcher, *job, ended.task, *task, now);
+        } else if (finishedFirst) {
+            // The run that was started since is not needed; it occupies its host until it ends.
+            dispatcher.fleet.relocating.insert(ended.task);
+            recordDone(dispatcher, *job, ended.task, now);
+        }
         return;
     }
     if (inherited) {
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -148,6 +148,76 @@
     CHECK(stateOf(*findJob(dispatcher.fleet, {"j"})) == JobState::Completed);
 }
 
+namespace {
+
+/// Starts a task on h1, gives the run up, and starts it again on h2. A second step waits for it.
+void startTwice(Dispatcher &dispatcher)
+{
+    StepSpec second = step(1, 1000);
+    second.dependsOn = {0};
+    addHost(dispatcher, "h1");
+    add(dispatcher, job("j", {step(1, 1000), second}));
+    REQUIRE(startAll(dispatcher, at(0)).starts.size() == 1);
+    dispatcher.fleet.hosts[{"h1"}].reachable = false;
+    loseRuns(dispatcher, {"h1"}, "test", at(100));
+    addHost(dispatcher, "h2", 1000);
+    REQUIRE(startAll(dispatcher, at(100)).starts.size() == 1);
+    dispatcher.fleet.hosts[{"h1"}].reachable = true;
+}
+
+} // namespace
+
+// Guards against a job that does not go on although a host has done the task and said so.
+TEST_CASE("a task is done when a run that was given up ends as done")
+{
+    Dispatcher dispatcher;
+    startTwice(dispatcher);
+    report(dispatcher, "h1", {{.number = 1, .task = key("j"), .run = 1, .end = RunEnd::Done}},
+           at(200));
+    const Orders orders = startAll(dispatcher, at(200));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].task == key("j", 0, 1));
+    REQUIRE(orders.stops.size() == 1);
+    CHECK(orders.stops[0].host.value == "h2");
+}
+
+// Guards against a task that is done and starts again, because the run that was done is not the
+// last.
+TEST_CASE("a waiting task is done when an earlier run of it ends as done")
+{
+    Dispatcher dispatcher;
+    startTwice(dispatcher);
+    loseRuns(dispatcher, {"h2"}, "test", at(150));
+    dispatcher.fleet.hosts[{"h2"}].reachable = false;
+    report(dispatcher, "h1", {{.number = 1, .task = key("j"), .run = 1, .end = RunEnd::Done}},
+           at(200));
+    const Orders orders = startAll(dispatcher, at(200));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].task == key("j", 0, 1));
+    CHECK(orders.stops.empty());
+}
+
+// Guards against a host that gets more than its capacity while a run that nobody needs is stopped.
+TEST_CASE("a run whose task is done elsewhere occupies its host until it ends")
+{
+    Dispatcher dispatcher;
+    startTwice(dispatcher);
+    dispatcher.fleet.hosts[{"h1"}].leaving = true;
+    report(dispatcher, "h1", {{.number = 1, .task = key("j"), .run = 1, .end = RunEnd::Done}},
+           at(200));
+    CHECK(startAll(dispatcher, at(200)).starts.empty());
+    report(dispatcher, "h2", {{.number = 1, .task = key("j"), .run = 2, .end = RunEnd::Failed}},
+           at(300));
+    const Orders orders = startAll(dispatcher, at(300));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].task == key("j", 0, 1));
+    CHECK(findJob(dispatcher.fleet, {"j"})->progress.steps[0].failedRuns[0].empty());
+    report(dispatcher, "h2", {{.number = 2, .task = key("j", 0, 1), .run = 1, .end = RunEnd::Done}},
+           at(400));
+    CHECK(stateOf(*findJob(dispatcher.fleet, {"j"})) == JobState::Completed);
+    CHECK(startAll(dispatcher, at(400)).starts.empty());
+}
+
 // Guards against a job that is given up early: after a takeover a host lists ends again that the
 // earlier holder had counted and stored.
 TEST_CASE("a failed run that is listed again after a takeover is counted once")
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -175,7 +175,7 @@
     std::vector<JobRuntime *> live;
     /// Jobs in a terminal state of which a run may still be present.
     std::set<JobId> stopping;
-    /// Tasks of live jobs whose runs are stopped in order to start elsewhere.
+    /// Tasks of live jobs whose runs are stopped, to start elsewhere or because the task is done.
     std::set<TaskKey> relocating;
     /// Jobs whose progress differs from its row.
     std::set<JobId> dirty;
