Tell adopted batch runs their speed

What callers saw: batch jobs that stood still for ever after a change of the holder.

Cause: the speed of a run is not in the host's report, and a new holder took it for 100. It orders a speed only when the one that it believes differs, so a run that the earlier holder had paused was never told otherwise. The class is a belief about another process that starts as a guess and is not confirmed.

Fix: the speed of an adopted run is unknown, like that after an order without an answer, and the first report orders it.

The new test failed before: 0 speed orders for an adopted batch run instead of 1.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -279,6 +279,7 @@
         task->host = host.id;
         task->since = now;
         task->progressedAt = now;
+        task->pace = unknownPace;
         job->begun = true;
         occupy(host, *job, active.task, active.run);
         note(dispatcher, {.kind = Finding::Kind::RunAdopted,
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -197,6 +197,23 @@
     CHECK(orders.stops.empty());
 }
 
+// Guards against a batch task that stands still for ever after a change of the holder.
+TEST_CASE("an adopted batch run is told its speed, whatever the earlier holder ordered")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    StepSpec batch = step(1, 1000);
+    batch.backfill = true;
+    const JobSpec spec = job("j", {batch});
+    addJob(dispatcher, spec, emptyProgress(spec), 0, true, at(0));
+    const HostReport paused{.active = {{.task = key("j"), .run = 7, .percent = 40, .load = 0}}};
+    takeReport(dispatcher, {"h"}, paused, at(100), true, at(100));
+    const Orders orders = plan(dispatcher, at(100));
+    REQUIRE(orders.paces.size() == 1);
+    CHECK(orders.paces[0].run == 7);
+    CHECK(orders.paces[0].percent == 100);
+}
+
 // Guards against a host that gets more than its capacity while a run that nobody needs is stopped.
 TEST_CASE("a run whose task is done elsewhere occupies its host until it ends")
 {
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -31,6 +31,10 @@
     Done,
 };
 
+/// Speed of a run that an earlier holder may have changed, or whose order got no answer. The next
+/// report orders it anew.
+inline constexpr int unknownPace = -1;
+
 /// What the holder knows of one task beyond its durable progress.
 struct TaskRuntime
 {
@@ -49,7 +53,7 @@
     double load = 0;
     /// Of a serving task.
     OwnPressure ownPressure;
-    /// Speed in percent that was ordered last.
+    /// Speed in percent that was ordered last, or unknownPace.
     int pace = 100;
     /// Whether this run was ever slowed by us.
     bool wasPaced = false;
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -561,8 +561,7 @@
     env.hosts.pace(callFor(it->second), order, guarded([this, order](const Result<void> &result) {
                        TaskRuntime *const task = findTask(dispatcher.fleet, order.task);
                        if (!result && task != nullptr && task->run == order.run) {
-                           // Unknown speed; the next report orders it again.
-                           task->pace = -1;
+                           task->pace = unknownPace;
                        }
                    }));
 }
