Keep the tokens of a returning host rising

Callers would see: the holder gives up the shard while nothing is wrong with it.

Cause: a host that is silent and missing from the list is dropped with its link, and with it the lower part of its token. When it comes back under its id, in the same life, its new link began at 0 again. The host refuses the lower token, and the holder took its own older token for that of a newer holder.

Evidence: found by reading; not seen in a run.

Fix: new links begin above the bumps of all dropped ones, so a token of an epoch is never lower than one that any host has seen from it. Orders of the dropped link that are still on their way are void as well.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -64,12 +64,54 @@
     Metrics metrics{{}};
     std::map<int, std::shared_ptr<FleetHolder>> holders;
     std::map<int, bool> mayAct;
+    /// Hosts that are missing from the host list.
+    std::set<std::string> unlisted;
+    /// Time that an answer to a write of progress takes.
+    Duration progressDelay{0};
+    /// Whether the store refuses to remove jobs.
+    bool keepsJobRows = false;
+    Duration hostRetry = milliseconds(20);
+    Duration keepEnded = std::chrono::seconds(150);
 
     explicit Cluster(int n)
         : hosts(loop, n)
     {
-        platform = PluginRegistry<PlatformPlugin>::instance().find("memory")->create(
-            loop, {.hosts = hosts.records()});
+        platform = PluginRegistry<PlatformPlugin>::instance().find("memory")->create(loop, {});
+        platform.listHosts = [this](const HostsCallback &callback) {
+            loop.post([this, callback] {
+                std::vector<HostRecord> records = hosts.records();
+                std::erase_if(records, [this](const HostRecord &record) {
+                    return unlisted.contains(record.host.value);
+                });
+                callback(std::move(records));
+            });
+        };
+        platform.partOf = [](const std::string &key) {
+            return key.substr(0, key.find('/'));
+        };
+        platform.commit = [this, commit = platform.commit](const Transaction &transaction,
+                                                           CommitCallback callback) {
+            const bool removesJobs =
+                std::any_of(transaction.deletes.begin(), transaction.deletes.end(),
+                            [](const std::string &key) { return key.starts_with("job/"); });
+            if (removesJobs && keepsJobRows) {
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::PlatformUnavailable, "status 503"));
+                });
+                return;
+            }
+            const bool isProgress =
+                !transaction.puts.empty() && transaction.puts[0].key.starts_with("progress/");
+            commit(transaction,
+                   [this, delay = isProgress ? progressDelay : Duration(0),
+                    callback = std::move(callback)](const Result<CommitVersions> &result) {
+                       if (delay == Duration(0)) {
+                           callback(result);
+                           return;
+                       }
+                       loop.postAfter(delay, [result, callback] { callback(result); });
+                   });
+        };
     }
 
     ~Cluster()
@@ -104,11 +146,12 @@
                                    .lease = lease,
                                    .renewalWait = milliseconds(50),
                                    .hostTimeout = milliseconds(40),
-                                   .hostRetry = milliseconds(20),
+                                   .hostRetry = hostRetry,
                                    .flushDelay = milliseconds(10),
                                    .listHostsEvery = milliseconds(50),
                                    .readJobsEvery = milliseconds(50),
-                                   .tickEvery = milliseconds(10)});
+                                   .tickEvery = milliseconds(10),
+                                   .keepEnded = keepEnded});
             holders[epoch] = holder;
             if (!evacuated.empty()) {
                 holder->setEvacuated(evacuated);
@@ -508,3 +551,43 @@
     CHECK(isCompleted("late"));
     CHECK(cluster.startsOf("late") == 1);
 }
+
+// Guards against a holder that gives up its shard because a host refuses a token that this holder
+// had itself replaced: the host was away, was forgotten, and came back under its id.
+TEST_CASE("a host that was forgotten and comes back does not depose its holder")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.hold(1);
+    const auto knows = [&] {
+        return holder.dispatcher().fleet.hosts.contains({"h0"});
+    };
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.host("h0").losesStartAnswers = true;
+        return true;
+    });
+    const auto token = [&] {
+        return onLoop(cluster.loop, [&] { return cluster.hosts.host("h0").token; });
+    };
+    cluster.submit(oneTask("first"));
+    REQUIRE(cluster.runs("first"));
+    const std::uint64_t before = token();
+    cluster.submit(oneTask("second"));
+    REQUIRE(eventually(cluster.loop, [&] { return cluster.hosts.host("h0").token > before; }));
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.host("h0").silent = true;
+        cluster.unlisted.insert("h0");
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] { return !knows(); }));
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.host("h0").silent = false;
+        cluster.unlisted.clear();
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        const auto it = holder.dispatcher().fleet.hosts.find({"h0"});
+        return !cluster.mayAct[1]
+               || (it != holder.dispatcher().fleet.hosts.end() && it->second.reported);
+    }));
+    CHECK(onLoop(cluster.loop, [&] { return cluster.mayAct[1]; }));
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -103,6 +103,9 @@
     internal::ProgressWriter writer;
     internal::Roster roster;
     std::map<HostId, HostLink> links;
+    /// First bump of a new link, above those of dropped ones: a host that comes back under its id
+    /// remembers the highest token that it has seen.
+    std::uint64_t bumpFloor = 0;
     std::vector<JobSpec> early;
     /// First arrival of jobs that were offered and are not stored.
     std::map<JobId, TimePoint> askedAt;
@@ -252,6 +255,7 @@
             continue;
         }
         loseRuns(dispatcher, it->first, "the host left the list and its lease has lapsed", now);
+        bumpFloor = std::max(bumpFloor, it->second.bump + 1);
         dispatcher.fleet.hosts.erase(it->first);
         it = links.erase(it);
     }
@@ -275,6 +279,7 @@
         HostLink &link = links[id];
         link.id = id;
         link.endpoint = endpoint;
+        link.bump = bumpFloor;
         link.leaseEnd =
             options.epoch > 1 ? options.previousStoppedAt + lapseTime(options.lease) : now;
         renew(link, milliseconds(0), now);
