Settle a start without an answer by the first renewal

Callers would see: a task whose start order was lost waits for a second renewal, which a host may hold back for 0.9 s, on top of the 0.2 s for the answer. Its room is taken meanwhile.

Cause: the renewal with the raised token is sent in the same moment in which the answer is given up, and a report had to be sent strictly later than that. The first answer was ignored and also cleared the mark that asks at once.

Evidence: found by reading.

Fix: a fenced report counts if it was sent no earlier than the answer was given up. That is safe: a report is fenced only with the host's newest token, and the order carried a lower one.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -327,7 +327,7 @@
             task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping;
         const bool settled =
             (confirmed && sentAt > task->since)
-            || (task->phase == TaskPhase::Uncertain && fenced && sentAt > task->since);
+            || (task->phase == TaskPhase::Uncertain && fenced && sentAt >= task->since);
         if (settled) {
             note(dispatcher, {.kind = Finding::Kind::RunLost,
                               .job = key.job,
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -65,6 +65,16 @@
     return {.job = {id}, .step = stepIndex, .index = index};
 }
 
+/// Adds a host and a job of one task, whose start order gets no answer until @p givenUpAt.
+void loseFirstStart(Dispatcher &dispatcher, TimePoint givenUpAt)
+{
+    addHost(dispatcher, "h");
+    add(dispatcher, job("j", {step(1, 1000)}));
+    const Orders orders = plan(dispatcher, at(0));
+    REQUIRE(orders.starts.size() == 1);
+    takeStartOutcome(dispatcher, orders.starts[0], StartOutcome::Unknown, givenUpAt);
+}
+
 /// Starts what can start, and confirms every start.
 Orders startAll(Dispatcher &dispatcher, TimePoint now)
 {
@@ -318,11 +328,7 @@
 TEST_CASE("a start without an answer is settled by a fenced report only")
 {
     Dispatcher dispatcher;
-    addHost(dispatcher, "h");
-    add(dispatcher, job("j", {step(1, 1000)}));
-    const Orders orders = plan(dispatcher, at(0));
-    REQUIRE(orders.starts.size() == 1);
-    takeStartOutcome(dispatcher, orders.starts[0], StartOutcome::Unknown, at(400));
+    loseFirstStart(dispatcher, at(400));
     takeReport(dispatcher, {"h"}, {}, at(401), false, at(410));
     CHECK(plan(dispatcher, at(410)).starts.empty());
     takeReport(dispatcher, {"h"}, {}, at(420), true, at(430));
@@ -331,6 +337,16 @@
     CHECK(again.starts[0].run == 2);
 }
 
+// Guards against a task that waits for a second renewal, which the host may hold back for a second:
+// the first one is sent in the moment in which the answer is given up.
+TEST_CASE("the renewal that follows a start without an answer settles it")
+{
+    Dispatcher dispatcher;
+    loseFirstStart(dispatcher, at(200));
+    takeReport(dispatcher, {"h"}, {}, at(200), true, at(210));
+    CHECK(plan(dispatcher, at(210)).starts.size() == 1);
+}
+
 // Guards against a lost task: a report that was sent before the start was confirmed cannot list it.
 TEST_CASE("a confirmed run is given up only if a later report does not list it")
 {
