End a job by the outcome that an earlier holder stored late

Callers would see: a job shown as cancelled whose tasks run on, also after further cancellations, and a job shown as in progress although all its tasks are done.

Cause: if a write of progress meets a row of another version, that row was merged into the progress only. The phases of tasks, the opening of steps and the list of live jobs did not follow, and a job whose outcome is set is neither ended nor stopped any more. It takes a takeover and a write of the earlier holder that is carried out after the new one has read the rows, which the store allows.

Evidence: found by reading; not seen in a run. The new tests failed before: fleet_test.cpp:638: ERROR: CHECK( onLoop(cluster.loop, [&] { return cluster.hosts.activeRuns(other); }) == 0 ) is NOT correct! values: CHECK( 1 == 0 ) fleet_test.cpp:639: ERROR: CHECK( onLoop(cluster.loop, [&] { return holder.dispatcher().fleet.live.size(); }) == 0 ) is NOT correct! fleet_test.cpp:657: ERROR: CHECK( cluster.stateOf(holder, "j") == JobState::Completed ) is NOT correct! values: CHECK( 1 == 2 )

Fix: the dispatcher merges, and ends the job the way it ends one by its own findings.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -84,6 +84,16 @@
     note(dispatcher, {.kind = Finding::Kind::JobEnded, .job = job.spec.id, .reason = reason});
 }
 
+void endIfAllDone(Dispatcher &dispatcher, JobRuntime &job, TimePoint now)
+{
+    for (std::size_t n = 0; n < job.steps.size(); ++n) {
+        if (!isStepDone(job.progress, n)) {
+            return;
+        }
+    }
+    endJob(dispatcher, job, JobState::Completed, "all tasks are done", now);
+}
+
 /// Records that a task is done, and what follows for its step and job.
 void recordDone(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TimePoint now)
 {
@@ -105,12 +115,17 @@
         return;
     }
     openSteps(job);
-    bool allDone = true;
-    for (std::size_t n = 0; n < job.steps.size(); ++n) {
-        allDone = allDone && isStepDone(job.progress, n);
-    }
-    if (allDone) {
-        endJob(dispatcher, job, JobState::Completed, "all tasks are done", now);
+    endIfAllDone(dispatcher, job, now);
+}
+
+/// Takes over that tasks are done which wait here; one that runs ends its run by itself.
+void takeDoneTasks(StepRuntime &step, const StepProgress &progress)
+{
+    for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+        if (progress.done[n] && step.tasks[n].phase == TaskPhase::Waiting) {
+            step.tasks[n].phase = TaskPhase::Done;
+            --step.waiting;
+        }
     }
 }
 
@@ -514,6 +529,31 @@
     return true;
 }
 
+void mergeProgress(Dispatcher &dispatcher, const JobId &job, const JobProgress &stored,
+                   TimePoint now)
+{
+    JobRuntime *const runtime = findJob(dispatcher.fleet, job);
+    if (runtime == nullptr) {
+        return;
+    }
+    JobProgress &progress = runtime->progress;
+    const JobState outcome = progress.outcome;
+    merge(progress, stored);
+    for (std::size_t n = 0; n < runtime->steps.size(); ++n) {
+        takeDoneTasks(runtime->steps[n], progress.steps[n]);
+    }
+    openSteps(*runtime);
+    if (isTerminal(outcome)) {
+        return;
+    }
+    const JobState merged = std::exchange(progress.outcome, outcome);
+    if (isTerminal(merged)) {
+        endJob(dispatcher, *runtime, merged, "an earlier holder ended it", now);
+    } else {
+        endIfAllDone(dispatcher, *runtime, now);
+    }
+}
+
 void takeReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
                 TimePoint sentAt, bool fenced, TimePoint now)
 {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -97,6 +97,11 @@
 /// unknown.
 bool cancelJob(Dispatcher &dispatcher, const JobId &job, TimePoint now);
 
+/// Merges progress that an earlier holder has stored into that of a job: what is done there does
+/// not start again, and its outcome ends the job. Does nothing if the job is unknown.
+void mergeProgress(Dispatcher &dispatcher, const JobId &job, const JobProgress &stored,
+                   TimePoint now);
+
 /// Takes in a report. @p sentAt is the time at which the renewal was sent; @p fenced is whether it
 /// carried the host's newest token, so that orders before it cannot take effect any more.
 void takeReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -173,6 +173,30 @@
         REQUIRE(stored.get_future().get());
     }
 
+    /// Submits a job of two tasks, and waits until both run on h0.
+    JobSpec runTwoTasks(const std::string &id)
+    {
+        JobSpec job = oneTask(id);
+        job.steps[0].tasks = 2;
+        submit(job);
+        REQUIRE(eventually(loop, [this, &id] {
+            const auto &active = hosts.host("h0").active;
+            return active.contains(taskOf(id)) && active.contains({.job = {id}, .index = 1});
+        }));
+        return job;
+    }
+
+    /// Stores progress as a late write of an earlier holder does.
+    void storeProgress(const std::string &id, const JobProgress &progress)
+    {
+        std::promise<bool> stored;
+        platform.commit({.puts = {{progressRowKey({id}), encodeProgress(progress)}}},
+                        [&stored](const Result<CommitVersions> &result) {
+                            stored.set_value(result.has_value());
+                        });
+        REQUIRE(stored.get_future().get());
+    }
+
     bool runs(const std::string &id)
     {
         return eventually(loop, [this, &id] { return hosts.activeRuns(taskOf(id)) == 1; });
@@ -591,3 +615,44 @@
     }));
     CHECK(onLoop(cluster.loop, [&] { return cluster.mayAct[1]; }));
 }
+
+// Guards against work on a job that callers see as cancelled: the outcome reached this holder by a
+// late write of an earlier one.
+TEST_CASE("an outcome that an earlier holder stored late ends the job")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.hold(1);
+    const JobSpec job = cluster.runTwoTasks("j");
+    const TaskKey other{.job = {"j"}, .index = 1};
+    JobProgress late = emptyProgress(job);
+    late.outcome = JobState::Cancelled;
+    cluster.storeProgress("j", late);
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.end("h0", taskOf("j"), RunEnd::Done);
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        return stateOf(*findJob(holder.dispatcher().fleet, {"j"})) == JobState::Cancelled;
+    }));
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.activeRuns(other); }) == 0);
+    CHECK(onLoop(cluster.loop, [&] { return holder.dispatcher().fleet.live.size(); }) == 0);
+}
+
+// Guards against a job that is shown in progress, and runs on, although all its tasks are done: an
+// earlier holder stored the one end, and this holder saw the other.
+TEST_CASE("a job whose last end was stored late by an earlier holder completes")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.hold(1);
+    const JobSpec job = cluster.runTwoTasks("j");
+    JobProgress late = emptyProgress(job);
+    late.steps[0].done[1] = true;
+    cluster.storeProgress("j", late);
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.end("h0", taskOf("j"), RunEnd::Done);
+        return true;
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(cluster.stateOf(holder, "j") == JobState::Completed);
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -48,9 +48,11 @@
                   .platform = env.platform,
                   .fleet = dispatcher.fleet,
                   .mayAct = env.mayAct,
-                  .onDurable =
-                      [this] {
-                          onDurable();
+                  .onDurable = [this] { onDurable(); },
+                  .onStoredProgress =
+                      [this](const JobId &id, const JobProgress &stored) {
+                          mergeProgress(dispatcher, id, stored, bootNow());
+                          afterEvent();
                       }},
                  {.delay = options.flushDelay, .urgentDelay = options.urgentFlushDelay})
         , roster(env.platform, env.loop)
--- a/packages/fleet/internal/progresswriter.cpp
+++ b/packages/fleet/internal/progresswriter.cpp
@@ -142,7 +142,7 @@
             job->progressVersion = rows->empty() ? 0 : rows->front().version;
             if (!rows->empty()) {
                 if (const auto stored = decodeProgress(job->spec, rows->front().value)) {
-                    merge(job->progress, *stored);
+                    m_env.onStoredProgress(id, *stored);
                 } else {
                     logEvent(EventId::RowIgnored,
                              {{"row", key}, {"reason", stored.error().message}});
--- a/packages/fleet/internal/progresswriter.h
+++ b/packages/fleet/internal/progresswriter.h
@@ -22,6 +22,8 @@
     std::function<bool()> mayAct;
     /// Called after ends have become durable.
     std::function<void()> onDurable;
+    /// Called with the stored progress of a job if it is not what this holder expected.
+    std::function<void(const JobId &, const JobProgress &)> onStoredProgress;
 };
 
 struct ProgressWriterOptions
