Do not fail a job because a host cannot read an order

Callers would see: a job shown as failed of which no run has ended so. Only such ends count as attempts.

Cause: status 400, and a refusal with a reason that is not known, ended the job at the first occurrence.

Fix: the task waits as after any other refusal and prefers another host. It waits longer, 1 s, and does not count against the host, so that a job that no host can read neither floods hosts nor puts them on probation.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -11,6 +11,11 @@
 namespace acaciadeal {
 namespace {
 
+/// Delay before a task that a host refused is started again.
+constexpr Duration refusedDelay = milliseconds(50);
+/// The same if the host could not read the order, as other hosts will likely not either.
+constexpr Duration malformedDelay = std::chrono::seconds(1);
+
 const StepSpec &stepOf(const JobRuntime &job, const TaskKey &task)
 {
     return job.spec.steps[task.step];
@@ -609,15 +614,12 @@
             noteRefusal(dispatcher, *host, now);
         }
         break;
-    case StartOutcome::Malformed:
-        endJob(dispatcher, *job, JobState::Failed, "a host refused the task as malformed", now);
-        break;
     default:
         break;
     }
     returnToWaiting(dispatcher, *job, order.task, *task, now);
     // The same choice at once would likely meet the same refusal.
-    task->notBefore = now + milliseconds(50);
+    task->notBefore = now + (outcome == StartOutcome::Malformed ? malformedDelay : refusedDelay);
     task->failedOn = order.host;
 }
 
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -347,6 +347,22 @@
     CHECK(plan(dispatcher, at(210)).starts.size() == 1);
 }
 
+// Guards against a job that is shown as failed although none of its runs has failed.
+TEST_CASE("a host that cannot read a start order does not fail the job")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1");
+    addHost(dispatcher, "h2");
+    add(dispatcher, job("j", {step(1, 1000)}));
+    const Orders first = plan(dispatcher, at(0));
+    REQUIRE(first.starts.size() == 1);
+    takeStartOutcome(dispatcher, first.starts[0], StartOutcome::Malformed, at(10));
+    CHECK_FALSE(isTerminal(stateOf(*findJob(dispatcher.fleet, {"j"}))));
+    const Orders second = plan(dispatcher, at(2000));
+    REQUIRE(second.starts.size() == 1);
+    CHECK(second.starts[0].host != first.starts[0].host);
+}
+
 // Guards against a lost task: a report that was sent before the start was confirmed cannot list it.
 TEST_CASE("a confirmed run is given up only if a later report does not list it")
 {
