Acknowledge ends only after a fresh answer

Callers would see: work done twice. A host restarts and ends a task while the write of an earlier end is on its way; the acknowledgement of that end reaches the new life, which forgets the end that nobody has read.

Evidence: found by reading. The new test failed before: fleet_test.cpp:693: ERROR: CHECK( cluster.startsOf("late") == 1 ) is NOT correct! values: CHECK( 2 == 1 )

Fix: if the last answer is older than freshAnswer, the renewal carries no acknowledgement and does not wait. Its answer shows the host's life, and the acknowledgement follows at once.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -656,3 +656,39 @@
     std::this_thread::sleep_for(milliseconds(300));
     CHECK(cluster.stateOf(holder, "j") == JobState::Completed);
 }
+
+// Guards against work that is done twice: a host restarts and ends a task while the write of an
+// earlier end is on its way, and the acknowledgement of that end reaches its new life.
+TEST_CASE("an end is acknowledged only to a host that has just shown its life")
+{
+    Cluster cluster(1);
+    // No renewal shows the restart before the write is answered.
+    cluster.hostRetry = patience;
+    cluster.progressDelay = milliseconds(300);
+    FleetHolder &holder = cluster.hold(1);
+    cluster.submit(oneTask("early"));
+    cluster.submit(oneTask("late"));
+    REQUIRE(cluster.runs("early"));
+    REQUIRE(cluster.runs("late"));
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.end("h0", taskOf("early"), RunEnd::Done);
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        return stateOf(*findJob(holder.dispatcher().fleet, {"early"})) == JobState::Completed;
+    }));
+    std::this_thread::sleep_for(milliseconds(50));
+    onLoop(cluster.loop, [&] {
+        FakeHost &host = cluster.hosts.host("h0");
+        host.bornAt = milliseconds(2);
+        host.ends = 0;
+        host.ended.clear();
+        cluster.hosts.end("h0", taskOf("late"), RunEnd::Done);
+        return true;
+    });
+    CHECK(eventually(cluster.loop, [&] {
+        return stateOf(*findJob(holder.dispatcher().fleet, {"late"})) == JobState::Completed
+               || cluster.hosts.host("h0").starts.size() > 2;
+    }));
+    CHECK(cluster.startsOf("late") == 1);
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -322,7 +322,12 @@
     // Each end is acknowledged once: a new life of the host counts its ends from 1, and would take
     // a repeated number for the acknowledgement of ends that nobody has read.
     if (host != nullptr && link.failures == 0 && host->durableEnd > link.acknowledgedEnd) {
-        renewal.acknowledged = host->durableEnd;
+        if (link.clock && now - link.clock->readAt <= freshAnswer) {
+            renewal.acknowledged = host->durableEnd;
+        } else {
+            // The host may have restarted since; the acknowledgement follows the answer.
+            renewal.wait = milliseconds(0);
+        }
     }
     // A silent host gets no further lease: its runs could never be given up otherwise.
     if (link.failures == 0) {
