Remove the progress of an ended job after the job itself

Callers would see: a job that has completed runs once more under a later holder.

Cause: the rows of jobs and of progress are in different parts of the store, so they are removed by separate writes. If that of the job was refused and that of the progress was not, the next holder found a job without progress.

Fix: progress is removed once its job has been, with one write for each batch as before. If a job's removal is refused, or its outcome is unknown, its progress stays; it is not retried, as before.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -692,3 +692,30 @@
     }));
     CHECK(cluster.startsOf("late") == 1);
 }
+
+// Guards against an ended job that runs again under the next holder: its progress was removed, and
+// the store refused to remove the job itself.
+TEST_CASE("a job that is removed in part does not run again")
+{
+    Cluster cluster(1);
+    cluster.keepEnded = milliseconds(50);
+    cluster.keepsJobRows = true;
+    FleetHolder &holder = cluster.hold(1);
+    cluster.submit(oneTask("j"));
+    REQUIRE(cluster.runs("j"));
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.end("h0", taskOf("j"), RunEnd::Done);
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] { return holder.dispatcher().fleet.jobs.empty(); }));
+    std::this_thread::sleep_for(milliseconds(50));
+    onLoop(cluster.loop, [&] {
+        cluster.mayAct[1] = false;
+        return true;
+    });
+    cluster.hold(2);
+    cluster.submit(oneTask("next"));
+    REQUIRE(cluster.runs("next"));
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(cluster.startsOf("j") == 1);
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -10,6 +10,7 @@
 #include "runtime/eventloop.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace acaciadeal {
@@ -37,6 +38,22 @@
     return std::chrono::duration_cast<Duration>(lease * hostClockSlack) + lapseSlack;
 }
 
+/// Removal of ended jobs. The progress goes last: a job without it would run again under the next
+/// holder.
+struct Removal
+{
+    std::size_t partsInFlight = 0;
+    Transaction progressRows;
+};
+
+void logRemoval(const Result<CommitVersions> &result)
+{
+    if (!result) {
+        logEvent(EventId::WriteOutcomeUnknown,
+                 {{"what", "removal of old jobs"}, {"reason", result.error().message}});
+    }
+}
+
 } // namespace
 
 struct FleetHolder::Impl
@@ -94,6 +111,7 @@
     void onJobChanges(const Result<RowChanges> &changes);
     void takeJobRow(const std::string &key, const std::string &value);
     void cleanUp(TimePoint now);
+    void removeJobs(const std::vector<JobId> &jobs, const std::shared_ptr<Removal> &removal);
 
     HostCall callFor(const HostLink &link) const;
     template<typename Function>
@@ -716,26 +734,39 @@
     if (old.empty()) {
         return;
     }
-    std::map<std::string, Transaction> byPart;
-    const auto remove = [&](const std::string &key) {
-        byPart[env.platform.partOf ? env.platform.partOf(key) : std::string()].deletes.push_back(
-            key);
-    };
+    std::map<std::string, std::vector<JobId>> byPart;
     for (const JobId &id : old) {
-        remove(jobRowKey(id));
-        remove(cancelRowKey(id));
-        remove(progressRowKey(id));
+        byPart[env.platform.partOf ? env.platform.partOf(jobRowKey(id)) : std::string()].push_back(
+            id);
         dispatcher.fleet.jobs.erase(id);
     }
     ended.erase(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(old.size()));
-    for (auto &[part, transaction] : byPart) {
-        env.platform.commit(std::move(transaction), [](const Result<CommitVersions> &result) {
-            if (!result) {
-                logEvent(EventId::WriteOutcomeUnknown,
-                         {{"what", "removal of old jobs"}, {"reason", result.error().message}});
-            }
-        });
-    }
+    const auto removal = std::make_shared<Removal>(Removal{.partsInFlight = byPart.size()});
+    for (const auto &[part, jobs] : byPart) {
+        removeJobs(jobs, removal);
+    }
+}
+
+void FleetHolder::Impl::removeJobs(const std::vector<JobId> &jobs,
+                                   const std::shared_ptr<Removal> &removal)
+{
+    Transaction transaction;
+    for (const JobId &id : jobs) {
+        transaction.deletes.push_back(jobRowKey(id));
+        transaction.deletes.push_back(cancelRowKey(id));
+    }
+    env.platform.commit(std::move(transaction),
+                        guarded([this, jobs, removal](const Result<CommitVersions> &result) {
+                            logRemoval(result);
+                            std::vector<std::string> &progressKeys = removal->progressRows.deletes;
+                            if (result) {
+                                std::transform(jobs.begin(), jobs.end(),
+                                               std::back_inserter(progressKeys), &progressRowKey);
+                            }
+                            if (--removal->partsInFlight == 0 && !progressKeys.empty()) {
+                                env.platform.commit(removal->progressRows, &logRemoval);
+                            }
+                        }));
 }
 
 FleetHolder::FleetHolder(FleetHolderEnvironment environment, FleetHolderOptions options)
