Answer a request that was sent behind another one during a shutdown

Callers would see: a request without an answer. After SIGTERM the server closed a connection with its next answer, also if the caller's following request had arrived on it already, which it had sent before it could know.

Cause: only drain() looked for a request that is arriving; the answers before it did not.

Evidence: found by reading, with a caller that sends two requests at once; whether callers on the users' platform do so is not known. The new test failed before: http_test.cpp:266: ERROR: CHECK( answers.find("answer to /second") != std::string::npos ) is NOT correct!

Fix: an answer ends the connection unless a further request is arriving; the answer to that one does.

--- a/packages/http/http_test.cpp
+++ b/packages/http/http_test.cpp
@@ -4,6 +4,7 @@
 #include "runtime/eventloop.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -45,6 +46,15 @@
         return ec ? ec.message() : text.substr(0, text.find("\r\n"));
     }
 
+    /// Returns everything that arrives until the connection ends.
+    std::string readToEnd()
+    {
+        std::string text;
+        boost::system::error_code ec;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(text), ec);
+        return text;
+    }
+
 private:
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::socket m_socket;
@@ -238,6 +248,25 @@
     isDrained.wait();
 }
 
+// Guards against a request without an answer: the caller sent it before it learned, from the answer
+// to the one before, that the server shuts down.
+TEST_CASE("a request that was sent behind another one is answered during a shutdown")
+{
+    EventLoop loop({.threads = 1});
+    HttpServer server(loop, {.listen = {"127.0.0.1", 0}},
+                      [](const HttpRequest &request, const HttpResponder &respond) {
+                          respond({.body = "answer to " + request.target});
+                      });
+    REQUIRE(server.start());
+    server.closeAfterAnswers();
+    RawCaller caller(server.endpoint());
+    caller.send("GET /first HTTP/1.1\r\nhost: a\r\n\r\nGET /second HTTP/1.1\r\nhost: a\r\n\r\n");
+    const std::string answers = caller.readToEnd();
+    CHECK(answers.find("answer to /first") != std::string::npos);
+    CHECK(answers.find("answer to /second") != std::string::npos);
+    CHECK(answers.find("Connection: close") != std::string::npos);
+}
+
 // Guards against a caller sending its next request on a connection that a shutdown closes.
 TEST_CASE("a server that will shut down says so in its answers")
 {
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -86,6 +86,7 @@
     void respond(HttpResponse response, bool keepAlive);
     void onWritten(beast::error_code ec, bool keepAlive);
     void close();
+    bool isNextArriving();
 
     std::shared_ptr<HttpServer::Impl> m_server;
     beast::tcp_stream m_stream;
@@ -199,9 +200,8 @@
 {
     asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] {
         // A request that has begun to arrive is answered; the connection closes after it.
-        beast::error_code ec;
-        const bool arriving = (self->m_parser && self->m_parser->got_some())
-                              || self->m_stream.socket().available(ec) > 0;
+        const bool arriving =
+            (self->m_parser && self->m_parser->got_some()) || self->isNextArriving();
         if (!self->m_busy && !arriving) {
             self->close();
         }
@@ -256,7 +256,8 @@
 {
     {
         const std::lock_guard lock(m_server->mutex);
-        keepAlive = keepAlive && !m_server->closingAfterAnswers;
+        // A caller that has sent its next request already is told with the answer to that one.
+        keepAlive = keepAlive && (!m_server->closingAfterAnswers || isNextArriving());
     }
     m_response = {};
     m_response.result(response.status);
@@ -284,6 +285,13 @@
     read();
 }
 
+/// Returns whether a part of a request has arrived that is not being parsed yet.
+bool Session::isNextArriving()
+{
+    beast::error_code ec;
+    return m_buffer.size() > 0 || m_stream.socket().available(ec) > 0;
+}
+
 void Session::close()
 {
     beast::error_code ec;
