Do not begin a task's wait anew when its start is refused

What callers would see: a long-running task that stays away beside room for two, because one of its starts was refused.

Cause: returnToWaiting() sets the time since which a task waits, also after a start that did not happen. An overdue task lost its rank and waited 2.5 s more.

The wait goes on from where it was before the order. The new test failed before: started after 5,000 ms, bound 3,000.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -617,7 +617,10 @@
     default:
         break;
     }
+    // A start that did not happen ends no wait.
+    const TimePoint waitsSince = task->since - order.waited;
     returnToWaiting(dispatcher, *job, order.task, *task, now);
+    task->since = waitsSince;
     // The same choice at once would likely meet the same refusal.
     task->notBefore = now + (outcome == StartOutcome::Malformed ? malformedDelay : refusedDelay);
     task->failedOn = order.host;
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <doctest/doctest.h>
 #include <random>
+#include <utility>
 
 using namespace acaciadeal;
 
@@ -564,3 +565,30 @@
         }
     }
 }
+
+// Guards against a long-running task that stays away beside room for two because a host refuses it.
+TEST_CASE("a refused start does not begin the wait of a long-running task anew")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1");
+    addHost(dispatcher, "h2");
+    // Short tasks needed the whole fleet a moment ago, so only an overdue task may start.
+    dispatcher.fleet.urgentMilliCores = 1e6;
+    dispatcher.fleet.urgentDemandAt = start;
+    StepSpec serving = step(1, 2000);
+    serving.longRunning = true;
+    serving.tailTarget = milliseconds(100);
+    add(dispatcher, job("serving", {serving}));
+    bool refused = false;
+    int startedAt = 0;
+    for (int ms = 0; startedAt == 0 && ms < 10000; ms += 100) {
+        for (const StartRun &order : plan(dispatcher, at(ms)).starts) {
+            const bool refuses = !std::exchange(refused, true);
+            takeStartOutcome(dispatcher, order,
+                             refuses ? StartOutcome::NoRoom : StartOutcome::Started, at(ms));
+            startedAt = refuses ? 0 : ms;
+        }
+    }
+    REQUIRE(refused);
+    CHECK(startedAt < 3000);
+}
