Keep a short task off the host on which it failed, for a while

What callers would see: in a full fleet with a host that fails everything, a wide job shown as failed, its attempts used up on that host.

The failing host is the only one with room, the failures of one job do not make it avoided, and the weight against it does not matter where there is no other host.

A task does not start again on the host of its last failure until it may try avoided hosts (a half-empty fleet, or a long-running task), or has waited for 4 s, so that a task with no other host is not kept back for ever. The room memo compares this too.

--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -185,14 +185,19 @@
 {
     const PlacementPermits widest = widestPermits(fleet, step);
     const Duration waited = now - task.since;
+    const bool tryAvoided =
+        widest.tryAvoided && waited >= (step.longRunning ? tryAvoidedAfter : disturbAfter);
     return {.disturb = widest.disturb && waited >= disturbAfter,
-            .tryAvoided =
-                widest.tryAvoided && waited >= (step.longRunning ? tryAvoidedAfter : disturbAfter)};
+            .tryAvoided = tryAvoided,
+            .notOn = tryAvoided || waited >= retryHereAfter
+                         ? std::string_view()
+                         : std::string_view(task.failedOn.value)};
 }
 
 bool covers(const PlacementPermits &wide, const PlacementPermits &narrow)
 {
-    return (wide.disturb || !narrow.disturb) && (wide.tryAvoided || !narrow.tryAvoided);
+    return (wide.disturb || !narrow.disturb) && (wide.tryAvoided || !narrow.tryAvoided)
+           && (wide.notOn.empty() || wide.notOn == narrow.notOn);
 }
 
 HostRating rateHost(const FleetState &fleet, const FleetHost &host, const JobRuntime &job,
@@ -200,7 +205,7 @@
 {
     const StepSpec &spec = job.spec.steps[step];
     if (!isEligible(host, job.spec.terms.service, spec)) {
-        return {.misfit = Misfit::OtherHosts};
+        return {.misfit = Misfit::WrongHost};
     }
     if (host.hasUnknownRun || !fits(committedNeed(spec), freeOn(host))) {
         return {.misfit = Misfit::Room};
@@ -214,6 +219,9 @@
         return {.misfit = Misfit::Interference};
     }
     double score = *base;
+    if (!permits.notOn.empty() && host.id.value == permits.notOn) {
+        return {.misfit = Misfit::Avoided};
+    }
     if (now < host.avoidUntil) {
         if (!permits.tryAvoided) {
             return {.misfit = Misfit::Avoided};
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -3,6 +3,8 @@
 
 #include "dispatch/fleetstate.h"
 
+#include <string_view>
+
 namespace acaciadeal {
 
 /// Share of the processors committed to tasks with a tail target that they use on average. They are
@@ -34,10 +36,14 @@
 /// for 3 s in an idle fleet.
 inline constexpr Duration disturbAfter = milliseconds(2000);
 
-/// Wait after which a long-running task starts on an avoided host if no other has room. Its failed
-/// runs are not counted, and each is followed by this wait.
+/// Wait after which a long-running task starts on an avoided host if no other has room, since its
+/// failed runs are not counted.
 inline constexpr Duration tryAvoidedAfter = milliseconds(1000);
 
+/// Wait after which a task starts again on the host on which it failed, whatever else holds; as
+/// long as a host is avoided.
+inline constexpr Duration retryHereAfter = std::chrono::seconds(4);
+
 /// Committed share below which most of the fleet counts as idle; what batch tasks use is not
 /// committed. Users say a half; the rest is for figures that are up to a second old.
 inline constexpr double halfEmptyBelow = 0.55;
@@ -47,8 +53,11 @@
 {
     /// A batch task may run beside serving tasks that it disturbs.
     bool disturb = false;
-    /// A task may run on a host that is avoided, if no other has room.
+    /// A task may run on a host that is avoided, or on which it failed, if no other has room.
     bool tryAvoided = false;
+    /// Host on which the task failed and may not run again yet; empty if there is none. Owned by
+    /// the task.
+    std::string_view notOn;
 };
 
 /// Returns what a task of @p step may do, however long it has waited. Precondition: rateOpenness()
@@ -67,7 +76,7 @@
 enum class Misfit : std::uint8_t {
     None,
     /// The host is of another service or lacks the label.
-    OtherHosts,
+    WrongHost,
     /// No room beside what is committed there.
     Room,
     /// The host runs as many tasks of the step as may run together.
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -102,7 +102,7 @@
         reason.oldestReport = std::max(reason.oldestReport, now - host.reportedAt);
         const Misfit misfit = rateHost(fleet, host, job, step, task, now).misfit;
         ++hosts[static_cast<std::size_t>(misfit)];
-        reason.places += misfit == Misfit::OtherHosts ? 0 : placesOn(host, spec);
+        reason.places += misfit == Misfit::WrongHost ? 0 : placesOn(host, spec);
     }
     reason.suitableHosts = hosts[static_cast<std::size_t>(Misfit::None)];
     reason.avoidedHosts = hosts[static_cast<std::size_t>(Misfit::Avoided)];
--- a/packages/dispatch/waitreason.h
+++ b/packages/dispatch/waitreason.h
@@ -43,7 +43,7 @@
 {
     WaitRule rule = WaitRule::NextRound;
     Duration waited{0};
-    /// Hosts that would suit the task apart from being avoided or not.
+    /// Hosts that suit the task, and hosts that would if they were not avoided.
     int suitableHosts = 0;
     int avoidedHosts = 0;
     /// Places for tasks of the step on usable hosts, at most two a host, by room alone.
