Start little on a host that is avoided and fails on

What callers would see: logs and hosts full of starts that fail at once.

Cause: the wait of 1 s before a long-running task may use an avoided host is its own, so with many of them the host is always full.

After each failure or lagging report nothing starts on an avoided host for 1 s, still below the 3 s for which a task may wait beside room. Both kinds of suspicion go through one function, which logs only when it begins to avoid a host.

--- a/packages/dispatch/avoidedhost_test.cpp
+++ b/packages/dispatch/avoidedhost_test.cpp
@@ -306,6 +306,26 @@
     CHECK(fleet.planAt(at(4200)).size() == 1);
 }
 
+// Guards against long-running tasks that start and fail on a failing host all the time.
+TEST_CASE("a host that fails everything gets one round of starts a second while it is avoided")
+{
+    Fleet fleet(1);
+    fleet.failRunsOn({"h0"}, 5, at(0));
+    StepSpec step = longStep();
+    step.tasks = 30;
+    fleet.submit("long", step, at(0));
+    std::size_t starts = 0;
+    for (int ms = 0; ms < 5000; ms += 100) {
+        for (const StartRun &order : fleet.planAt(at(ms))) {
+            ++starts;
+            fleet.end(order, RunEnd::Failed, at(ms + 50));
+        }
+    }
+    constexpr std::size_t places = 2;
+    CHECK(starts > 0);
+    CHECK(starts <= places * 5);
+}
+
 // Guards against a wide job that fails because a host that fails everything is the only one with
 // room, and is not suspected for the failures of one job.
 TEST_CASE("a job does not use up its attempts on one host that fails everything")
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -169,15 +169,6 @@
     }
 }
 
-void avoid(Dispatcher &dispatcher, FleetHost &host, std::string reason, TimePoint now)
-{
-    host.avoidUntil = now + dispatcher.options.probation;
-    note(dispatcher, {.kind = Finding::Kind::HostAvoided,
-                      .host = host.id,
-                      .reason = std::move(reason),
-                      .duration = dispatcher.options.probation});
-}
-
 void noteSuccess(FleetHost &host)
 {
     host.failedJobs.clear();
@@ -192,16 +183,16 @@
         jobs.push_back(job);
     }
     if (jobs.size() == limit) {
-        avoid(dispatcher, host,
-              "runs of " + std::to_string(limit) + " jobs failed without a success", now);
+        avoidHost(dispatcher, host,
+                  "runs of " + std::to_string(limit) + " jobs failed without a success", now);
     }
 }
 
 void noteRefusal(Dispatcher &dispatcher, FleetHost &host, TimePoint now)
 {
     if (++host.refusalsInARow >= dispatcher.options.refusalsBeforeProbation) {
-        avoid(dispatcher, host, std::to_string(host.refusalsInARow) + " starts refused in a row",
-              now);
+        avoidHost(dispatcher, host,
+                  std::to_string(host.refusalsInARow) + " starts refused in a row", now);
     }
 }
 
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -63,10 +63,9 @@
     /// than an ordinary restart of a worker, short enough to use a repaired host again.
     Duration probation = std::chrono::seconds(4);
     /// Distinct jobs whose runs fail on a host, without a success between them, that make it
-    /// avoided. One run in twenty fails by its own fault, and one job in a hundred can never be
-    /// done.
+    /// avoided. Sound hosts see failures too, as runs fail by their own fault.
     std::size_t failedJobsBeforeProbation = 4;
-    /// Refusals on end after which a host that says it is unhealthy is avoided.
+    /// Refusals in a row after which a host that says it is unhealthy is avoided.
     int refusalsBeforeProbation = 2;
     /// Age of the host list up to which tasks are started. Users allow 2 s between a host's notice
     /// that it leaves and the last start there; the rest is for the order's way.
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -141,9 +141,12 @@
     /// Jobs of which a run failed there since the last success, up to the number that makes the
     /// host avoided.
     std::vector<JobId> failedJobs;
-    /// Starts that the host refused as unhealthy on end; 0 after a start or a success.
+    /// Starts in a row that the host refused as unhealthy; 0 after a start or a success.
     int refusalsInARow = 0;
     TimePoint avoidUntil;
+    /// Nothing starts there before this time, so that a failing host gets few runs while it is
+    /// avoided.
+    TimePoint tryFrom;
     /// Allowed speed of backfill tasks in percent.
     int pace = 100;
     TimePoint paceChangedAt;
--- a/packages/dispatch/hostprogress.cpp
+++ b/packages/dispatch/hostprogress.cpp
@@ -1,7 +1,10 @@
 #include "dispatch/hostprogress.h"
 
+#include "dispatch/placement.h"
+
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace acaciadeal {
@@ -21,6 +24,18 @@
 
 } // namespace
 
+void avoidHost(Dispatcher &dispatcher, FleetHost &host, std::string reason, TimePoint now)
+{
+    if (now >= host.avoidUntil) {
+        dispatcher.findings.push_back({.kind = Finding::Kind::HostAvoided,
+                                       .host = host.id,
+                                       .reason = std::move(reason),
+                                       .duration = dispatcher.options.probation});
+    }
+    host.avoidUntil = now + dispatcher.options.probation;
+    host.tryFrom = now + tryAvoidedAfter;
+}
+
 void noteRunTime(StepRuntime &step, Duration runTime)
 {
     step.shortestRun =
@@ -61,15 +76,10 @@
     if (jobs.size() < jobsAsEvidence) {
         return;
     }
-    if (now >= host.avoidUntil) {
-        dispatcher.findings.push_back({.kind = Finding::Kind::HostAvoided,
-                                       .host = host.id,
-                                       .reason = std::to_string(lagging.size()) + " tasks of "
-                                                 + std::to_string(jobs.size())
-                                                 + " jobs make too little progress",
-                                       .duration = dispatcher.options.probation});
-    }
-    host.avoidUntil = std::max(host.avoidUntil, now + dispatcher.options.probation);
+    avoidHost(dispatcher, host,
+              std::to_string(lagging.size()) + " tasks of " + std::to_string(jobs.size())
+                  + " jobs make too little progress",
+              now);
     dispatcher.fleet.relocating.insert(lagging.begin(), lagging.end());
 }
 
--- a/packages/dispatch/hostprogress.h
+++ b/packages/dispatch/hostprogress.h
@@ -5,6 +5,9 @@
 
 namespace acaciadeal {
 
+/// Avoids a host for a probation, because of @p reason.
+void avoidHost(Dispatcher &dispatcher, FleetHost &host, std::string reason, TimePoint now);
+
 /// Notes how long a task of a step took, for comparison with its siblings.
 void noteRunTime(StepRuntime &step, Duration runTime);
 
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -223,7 +223,7 @@
         return {.misfit = Misfit::Avoided};
     }
     if (now < host.avoidUntil) {
-        if (!permits.tryAvoided) {
+        if (!permits.tryAvoided || now < host.tryFrom) {
             return {.misfit = Misfit::Avoided};
         }
         score -= avoidedPenalty;
