Judge by service whether the fleet is half empty

What callers would see, with several services in one fleet: a batch task that waits in an idle service because another one is full, and tasks of a full service that try avoided hosts because another one is empty.

Cause: the sums over the fleet's hosts decided for all services.

The usable hosts of a task's own service decide. The test failed before: 'a batch task that may disturb is not kept back by the load of another service'.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -442,7 +442,7 @@
     JobRuntime &job = *ready.job;
     StepRuntime &step = job.steps[ready.step];
     const StepSpec &spec = job.spec.steps[ready.step];
-    const PlacementPermits widest = widestPermits(dispatcher.fleet, spec);
+    const PlacementPermits widest = widestPermits(dispatcher.fleet, job, ready.step);
     if (hasNoRoom(noRoom, roomRequest(job, ready.step, widest))) {
         return;
     }
@@ -450,7 +450,7 @@
     std::optional<PlacementPermits> failed;
     for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
         TaskRuntime &task = step.tasks[n];
-        const PlacementPermits permits = permitsOf(dispatcher.fleet, spec, task, now);
+        const PlacementPermits permits = permitsOf(dispatcher.fleet, job, ready.step, task, now);
         if ((failed && covers(*failed, permits))
             || !mayStart(dispatcher, job, spec, task, rule, now)) {
             continue;
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -592,3 +592,21 @@
     REQUIRE(refused);
     CHECK(startedAt < 3000);
 }
+
+// Guards against batch tasks that wait in an idle service because another one is full.
+TEST_CASE("a batch task that may disturb is not kept back by the load of another service")
+{
+    Dispatcher dispatcher;
+    addDisturbedHost(dispatcher, "h");
+    for (int n = 0; n < 4; ++n) {
+        addHost(dispatcher, "other" + std::to_string(n));
+        dispatcher.fleet.hosts[{"other" + std::to_string(n)}].service = {"other"};
+    }
+    JobSpec full = job("full", {step(4, 8000)});
+    full.terms.service = {"other"};
+    add(dispatcher, full);
+    REQUIRE(startAll(dispatcher, at(0)).starts.size() == 4);
+    add(dispatcher, job("batch", {batchStep(1, 1000)}), at(0));
+    CHECK(startedTasks(dispatcher, at(10)).empty());
+    CHECK(startedTasks(dispatcher, at(10) + disturbAfter) == "batch/0/0");
+}
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -167,8 +167,8 @@
     /// Moment that the host list shows; unset if that is not followed.
     std::optional<TimePoint> hostsReadAt;
     InterferenceModel interference;
-    /// Whether about half of the usable processors or less are committed; see rateOpenness().
-    bool isHalfEmpty = false;
+    /// Services of whose usable processors about half or less are committed; see rateOpenness().
+    std::set<ServiceId> halfEmpty;
     /// Processors that short committed tasks need, at their recent peak; see updateUrgentDemand().
     double urgentMilliCores = 0;
     TimePoint urgentDemandAt;
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -106,6 +106,28 @@
                                        : urgentScore(host, capacity, freeAfter);
 }
 
+/// Notes the usable hosts, and the services that are half empty.
+void noteUsable(FleetState &fleet)
+{
+    fleet.usable.clear();
+    std::map<ServiceId, Resources> capacity;
+    std::map<ServiceId, Resources> committed;
+    for (auto &[id, host] : fleet.hosts) {
+        if (isUsable(fleet, host)) {
+            fleet.usable.push_back(&host);
+            capacity[host.service] = capacity[host.service] + host.capacity;
+            committed[host.service] = committed[host.service] + host.committed;
+        }
+    }
+    fleet.halfEmpty.clear();
+    for (const auto &[service, sum] : capacity) {
+        if (static_cast<double>(committed[service].milliCores)
+            < halfEmptyBelow * static_cast<double>(sum.milliCores)) {
+            fleet.halfEmpty.insert(service);
+        }
+    }
+}
+
 } // namespace
 
 double idleMilliCores(const FleetHost &host)
@@ -152,14 +174,8 @@
             }
         }
     }
-    const FleetSummary sum = summarize(fleet);
-    fleet.isHalfEmpty = static_cast<double>(sum.committed.milliCores)
-                        < halfEmptyBelow * static_cast<double>(sum.capacity.milliCores);
-    fleet.usable.clear();
+    noteUsable(fleet);
     for (auto &[id, host] : fleet.hosts) {
-        if (isUsable(fleet, host)) {
-            fleet.usable.push_back(&host);
-        }
         host.openness = host.servingMilliCores == 0 ? 1 : 0;
         if (host.servingMilliCores == 0 || total <= 0) {
             continue;
@@ -172,21 +188,23 @@
     }
 }
 
-PlacementPermits widestPermits(const FleetState &fleet, const StepSpec &step)
+PlacementPermits widestPermits(const FleetState &fleet, const JobRuntime &job, std::uint32_t step)
 {
     // A host that fails everything looks empty. In a full fleet it would use up the attempts of
     // short tasks; failed runs of long-running ones are not counted.
-    return {.disturb = step.backfill && fleet.isHalfEmpty,
-            .tryAvoided = step.longRunning || fleet.isHalfEmpty};
+    const StepSpec &spec = job.spec.steps[step];
+    const bool isHalfEmpty = fleet.halfEmpty.contains(job.spec.terms.service);
+    return {.disturb = spec.backfill && isHalfEmpty, .tryAvoided = spec.longRunning || isHalfEmpty};
 }
 
-PlacementPermits permitsOf(const FleetState &fleet, const StepSpec &step, const TaskRuntime &task,
-                           TimePoint now)
+PlacementPermits permitsOf(const FleetState &fleet, const JobRuntime &job, std::uint32_t step,
+                           const TaskRuntime &task, TimePoint now)
 {
-    const PlacementPermits widest = widestPermits(fleet, step);
+    const PlacementPermits widest = widestPermits(fleet, job, step);
     const Duration waited = now - task.since;
     const bool tryAvoided =
-        widest.tryAvoided && waited >= (step.longRunning ? tryAvoidedAfter : disturbAfter);
+        widest.tryAvoided
+        && waited >= (job.spec.steps[step].longRunning ? tryAvoidedAfter : disturbAfter);
     return {.disturb = widest.disturb && waited >= disturbAfter,
             .tryAvoided = tryAvoided,
             .notOn = tryAvoided || waited >= retryHereAfter
@@ -213,7 +231,7 @@
     if (spec.maxTasksPerHost > 0 && tasksOfStep(host, job.spec.id, step) >= spec.maxTasksPerHost) {
         return {.misfit = Misfit::TasksPerHost};
     }
-    const PlacementPermits permits = permitsOf(fleet, spec, task, now);
+    const PlacementPermits permits = permitsOf(fleet, job, step, task, now);
     const auto base = scoreOf(fleet, host, spec, job.steps[step].image, permits.disturb);
     if (!base) {
         return {.misfit = Misfit::Interference};
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -60,14 +60,14 @@
     std::string_view notOn;
 };
 
-/// Returns what a task of @p step may do, however long it has waited. Precondition: rateOpenness()
-/// was called in this round. Thread-safe.
-PlacementPermits widestPermits(const FleetState &fleet, const StepSpec &step);
-
-/// Returns what @p task of @p step may do now. Precondition: rateOpenness() was called in this
-/// round. Thread-safe.
-PlacementPermits permitsOf(const FleetState &fleet, const StepSpec &step, const TaskRuntime &task,
-                           TimePoint now);
+/// Returns what a task of @p job's step @p step may do, however long it has waited. Precondition:
+/// rateOpenness() was called in this round. Thread-safe.
+PlacementPermits widestPermits(const FleetState &fleet, const JobRuntime &job, std::uint32_t step);
+
+/// Returns what @p task of @p job's step @p step may do now. Precondition: rateOpenness() was
+/// called in this round. Thread-safe.
+PlacementPermits permitsOf(const FleetState &fleet, const JobRuntime &job, std::uint32_t step,
+                           const TaskRuntime &task, TimePoint now);
 
 /// Returns whether @p wide allows everything that @p narrow allows. Thread-safe.
 bool covers(const PlacementPermits &wide, const PlacementPermits &narrow);
