Explain waiting steps in turn

The 8 lines of 8021 a second went to the steps that had waited longest.

Steps that were explained longest ago come first now, restarts of long-running tasks still before all others. The new test failed to build before, as the order did not depend on earlier lines.

--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -73,6 +73,8 @@
     std::uint32_t waiting = 0;
     /// Whether all steps that it depends on are done.
     bool open = false;
+    /// When the reason of its waiting tasks was logged last.
+    TimePoint explainedAt;
     /// Shortest run of a task that was done; 0 before the first.
     Duration shortestRun{0};
 };
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -134,7 +134,8 @@
             if (!step.open || step.waiting == 0) {
                 continue;
             }
-            WaitingStep longest{.job = job, .step = n, .waited = Duration(-1)};
+            WaitingStep longest{
+                .job = job, .step = n, .waited = Duration(-1), .explainedAt = step.explainedAt};
             for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
                 const TaskRuntime &task = step.tasks[index];
                 const bool isRestart = job->spec.steps[n].longRunning && task.run > 0;
@@ -153,9 +154,17 @@
         }
     }
     std::sort(result.begin(), result.end(), [](const WaitingStep &a, const WaitingStep &b) {
-        return std::tuple(a.isRestart, a.waited) > std::tuple(b.isRestart, b.waited);
+        return std::tuple(b.isRestart, a.explainedAt, b.waited)
+               < std::tuple(a.isRestart, b.explainedAt, a.waited);
     });
     return result;
 }
 
+void noteExplained(FleetState &fleet, const WaitingStep &step, TimePoint now)
+{
+    if (JobRuntime *const job = findJob(fleet, step.job->spec.id)) {
+        job->steps[step.step].explainedAt = now;
+    }
+}
+
 } // namespace acaciadeal
--- a/packages/dispatch/waitreason.h
+++ b/packages/dispatch/waitreason.h
@@ -67,12 +67,17 @@
     Duration waited{0};
     /// Whether that task ran before.
     bool isRestart = false;
+    /// When the step was explained last.
+    TimePoint explainedAt;
 };
 
-/// Returns the open steps in which a task has waited for @p atLeast, restarts of long-running tasks
-/// first, then by their wait.
+/// Returns the open steps in which a task has waited for @p atLeast: restarts of long-running tasks
+/// first, then those that were explained longest ago, then by their wait.
 std::vector<WaitingStep> waitingSteps(const FleetState &fleet, Duration atLeast, TimePoint now);
 
+/// Notes that the wait of a step was explained.
+void noteExplained(FleetState &fleet, const WaitingStep &step, TimePoint now);
+
 } // namespace acaciadeal
 
 #endif
--- a/packages/dispatch/waitreason_test.cpp
+++ b/packages/dispatch/waitreason_test.cpp
@@ -171,3 +171,21 @@
     CHECK(steps[1].waited == milliseconds(3500));
     CHECK(waitingSteps(fleet.dispatcher.fleet, milliseconds(3200), at(3000)).size() == 1);
 }
+
+// Guards against steps that never get a line, because others have waited longer.
+TEST_CASE("the step that was explained longest ago is reported first")
+{
+    Fleet fleet;
+    const JobSpec other = {.id = {"younger"},
+                           .terms = {.queue = "q", .service = {"svc"}, .maxAttempts = 3},
+                           .steps = {Fleet::longStep()}};
+    addJob(fleet.dispatcher, other, emptyProgress(other), 0, false, at(500));
+    const auto first = [&fleet](TimePoint now) {
+        return waitingSteps(fleet.dispatcher.fleet, milliseconds(2000), now)[0];
+    };
+    CHECK(first(at(3000)).job->spec.id == id);
+    noteExplained(fleet.dispatcher.fleet, first(at(3000)), at(3000));
+    CHECK(first(at(4000)).job->spec.id == other.id);
+    noteExplained(fleet.dispatcher.fleet, first(at(4000)), at(4000));
+    CHECK(first(at(5000)).job->spec.id == id);
+}
--- a/packages/fleet/internal/holderlog.cpp
+++ b/packages/fleet/internal/holderlog.cpp
@@ -96,7 +96,7 @@
                                                      : std::string("none")}});
 }
 
-void logWaits(const Dispatcher &dispatcher, Metrics &metrics, TimePoint now)
+void logWaits(Dispatcher &dispatcher, Metrics &metrics, TimePoint now)
 {
     std::vector<WaitingStep> steps = waitingSteps(dispatcher.fleet, reportedWait, now);
     const std::size_t found = steps.size();
@@ -106,6 +106,7 @@
         const TaskRuntime &task = job.steps[step.step].tasks[step.task];
         const Resources &size = job.spec.steps[step.step].taskSize;
         const WaitReason reason = explainWait(dispatcher, job, step.step, task, now);
+        noteExplained(dispatcher.fleet, step, now);
         const std::string rule(waitRuleName(reason.rule));
         metrics.count("fleet_waits_total", {{"rule", rule}});
         logEvent(EventId::TaskWaits,
--- a/packages/fleet/internal/holderlog.h
+++ b/packages/fleet/internal/holderlog.h
@@ -17,9 +17,9 @@
 /// Most lines about waiting tasks in one call of logWaits(); bounds the volume in a full fleet.
 inline constexpr std::size_t maxWaitLines = 8;
 
-/// Logs why tasks wait, a line for each step, long-running tasks that ran before first. Counts by
-/// rule the steps that it logs.
-void logWaits(const Dispatcher &dispatcher, Metrics &metrics, TimePoint now);
+/// Logs why tasks wait, a line for each step, long-running tasks that ran before first and all
+/// steps in turn. Counts by rule the steps that it logs.
+void logWaits(Dispatcher &dispatcher, Metrics &metrics, TimePoint now);
 
 } // namespace acaciadeal::internal
 
