Work out a task's permits once for all hosts

What a task may do was worked out anew for each host, with a search for its service among the half-empty ones, and the sums by service went through maps, in every round of decisions.

chooseHost() works the permits out once, and the few services are kept in a vector. No decision changes; dispatch_test, avoided_host_test and restart_test pass as before.

--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -106,24 +106,38 @@
                                        : urgentScore(host, capacity, freeAfter);
 }
 
+/// Processors of a service's usable hosts, in thousandths of a core. There are few services.
+struct ServiceUse
+{
+    const ServiceId *service = nullptr;
+    std::int64_t capacity = 0;
+    std::int64_t committed = 0;
+};
+
 /// Notes the usable hosts, and the services that are half empty.
 void noteUsable(FleetState &fleet)
 {
     fleet.usable.clear();
-    std::map<ServiceId, Resources> capacity;
-    std::map<ServiceId, Resources> committed;
+    std::vector<ServiceUse> services;
     for (auto &[id, host] : fleet.hosts) {
-        if (isUsable(fleet, host)) {
-            fleet.usable.push_back(&host);
-            capacity[host.service] = capacity[host.service] + host.capacity;
-            committed[host.service] = committed[host.service] + host.committed;
+        if (!isUsable(fleet, host)) {
+            continue;
         }
+        fleet.usable.push_back(&host);
+        auto it = std::find_if(services.begin(), services.end(), [&host](const ServiceUse &use) {
+            return *use.service == host.service;
+        });
+        if (it == services.end()) {
+            it = services.insert(services.end(), {.service = &host.service});
+        }
+        it->capacity += host.capacity.milliCores;
+        it->committed += host.committed.milliCores;
     }
     fleet.halfEmpty.clear();
-    for (const auto &[service, sum] : capacity) {
-        if (static_cast<double>(committed[service].milliCores)
-            < halfEmptyBelow * static_cast<double>(sum.milliCores)) {
-            fleet.halfEmpty.insert(service);
+    for (const ServiceUse &use : services) {
+        if (static_cast<double>(use.committed)
+            < halfEmptyBelow * static_cast<double>(use.capacity)) {
+            fleet.halfEmpty.insert(*use.service);
         }
     }
 }
@@ -219,7 +233,8 @@
 }
 
 HostRating rateHost(const FleetState &fleet, const FleetHost &host, const JobRuntime &job,
-                    std::uint32_t step, const TaskRuntime &task, TimePoint now)
+                    std::uint32_t step, const TaskRuntime &task, const PlacementPermits &permits,
+                    TimePoint now)
 {
     const StepSpec &spec = job.spec.steps[step];
     if (!isEligible(host, job.spec.terms.service, spec)) {
@@ -231,7 +246,6 @@
     if (spec.maxTasksPerHost > 0 && tasksOfStep(host, job.spec.id, step) >= spec.maxTasksPerHost) {
         return {.misfit = Misfit::TasksPerHost};
     }
-    const PlacementPermits permits = permitsOf(fleet, job, step, task, now);
     const auto base = scoreOf(fleet, host, spec, job.steps[step].image, permits.disturb);
     if (!base) {
         return {.misfit = Misfit::Interference};
@@ -268,10 +282,11 @@
 FleetHost *chooseHost(FleetState &fleet, const JobRuntime &job, std::uint32_t step,
                       const TaskRuntime &task, TimePoint now)
 {
+    const PlacementPermits permits = permitsOf(fleet, job, step, task, now);
     FleetHost *best = nullptr;
     double bestScore = 0;
     for (FleetHost *const host : fleet.usable) {
-        const HostRating rating = rateHost(fleet, *host, job, step, task, now);
+        const HostRating rating = rateHost(fleet, *host, job, step, task, permits, now);
         if (rating.misfit == Misfit::None && (best == nullptr || rating.score > bestScore)) {
             best = host;
             bestScore = rating.score;
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -95,9 +95,11 @@
 };
 
 /// Returns whether and how well @p host suits a task of @p job's step @p step now. Precondition:
-/// the host is usable, and rateOpenness() was called in this round. Thread-safe.
+/// the host is usable, @p permits are the task's, and rateOpenness() was called in this round.
+/// Thread-safe.
 HostRating rateHost(const FleetState &fleet, const FleetHost &host, const JobRuntime &job,
-                    std::uint32_t step, const TaskRuntime &task, TimePoint now);
+                    std::uint32_t step, const TaskRuntime &task, const PlacementPermits &permits,
+                    TimePoint now);
 
 /// Returns how many more tasks of @p step fit beside what is committed on @p host, 2 at most.
 /// Thread-safe.
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -93,6 +93,7 @@
     const FleetState &fleet = dispatcher.fleet;
     const StepSpec &spec = job.spec.steps[step];
     WaitReason reason{.waited = now - task.since};
+    const PlacementPermits permits = permitsOf(fleet, job, step, task, now);
     MisfitCounts hosts{};
     for (const auto &[id, host] : fleet.hosts) {
         if (!isUsable(fleet, host)) {
@@ -100,7 +101,7 @@
         }
         ++reason.usableHosts;
         reason.oldestReport = std::max(reason.oldestReport, now - host.reportedAt);
-        const Misfit misfit = rateHost(fleet, host, job, step, task, now).misfit;
+        const Misfit misfit = rateHost(fleet, host, job, step, task, permits, now).misfit;
         ++hosts[static_cast<std::size_t>(misfit)];
         reason.places += misfit == Misfit::WrongHost ? 0 : placesOn(host, spec);
     }
