--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -119,7 +119,8 @@
 {
     fleet.usable.clear();
     std::vector<ServiceUse> services;
-    for (auto &[id, host] : fleet.hosts) {
+    for (auto &entry : fleet.hosts) {
+        FleetHost &host = entry.second;
         if (!isUsable(fleet, host)) {
             continue;
         }
