Log what rounds of decisions cost a holder

The logs could not tell a holder that lacks processor time from one that waits for answers. 8019 FleetStatus now has the number of rounds since the line before, their time, the longest, how late the latest began, and the processor time of the process; fleet_round_seconds has all rounds. No change of a decision.

--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -133,6 +133,7 @@
     bool loaded = false;
     bool accounted = false;
     bool planScheduled = false;
+    internal::RoundTimes rounds{.processorTime = std::clock()};
     bool hostListOld = false;
     bool finishing = false;
     std::weak_ptr<FleetHolder> self;
@@ -483,8 +484,9 @@
     if (self.expired() || std::exchange(planScheduled, true)) {
         return;
     }
-    env.loop.postAfter(options.planDelay, guarded([this] {
+    env.loop.postAfter(options.planDelay, guarded([this, due = bootNow() + options.planDelay] {
                            planScheduled = false;
+                           rounds.latest = std::max(rounds.latest, bootNow() - due);
                            planNow();
                        }));
 }
@@ -500,6 +502,11 @@
                  {{"reason", old ? "the host list is too old to start tasks" : "host list"}});
     }
     const Orders orders = plan(dispatcher, now);
+    const Duration took = bootNow() - now;
+    env.metrics.observe("fleet_round_seconds", {}, took);
+    ++rounds.rounds;
+    rounds.total += took;
+    rounds.longest = std::max(rounds.longest, took);
     for (const StopRun &order : orders.stops) {
         sendStop(order);
     }
@@ -620,7 +627,7 @@
 
 void FleetHolder::Impl::reportStatus()
 {
-    internal::logStatus(dispatcher.fleet, bootNow());
+    internal::logStatus(dispatcher.fleet, rounds, bootNow());
     env.loop.postAfter(options.statusEvery, guarded([this] { reportStatus(); }));
 }
 
--- a/packages/fleet/internal/holderlog.cpp
+++ b/packages/fleet/internal/holderlog.cpp
@@ -63,8 +63,11 @@
     }
 }
 
-void logStatus(const FleetState &fleet, TimePoint now)
+void logStatus(const FleetState &fleet, RoundTimes &rounds, TimePoint now)
 {
+    const std::clock_t processorTime = std::clock();
+    const RoundTimes ended = std::exchange(rounds, RoundTimes{.processorTime = processorTime});
+    const std::clock_t used = processorTime - ended.processorTime;
     const FleetSummary sum = summarize(fleet);
     int avoided = 0;
     Resources avoidedRoom;
@@ -92,8 +95,13 @@
               {"waiting_tasks", std::to_string(sum.waitingTasks)},
               {"waiting_backfill_tasks", std::to_string(sum.waitingBackfillTasks)},
               {"long_running_spare", cores(static_cast<std::int64_t>(fleet.spareForLongRunning))},
-              {"host_list_age_ms", fleet.hostsReadAt ? inMilliseconds(now - *fleet.hostsReadAt)
-                                                     : std::string("none")}});
+              {"host_list_age_ms",
+               fleet.hostsReadAt ? inMilliseconds(now - *fleet.hostsReadAt) : std::string("none")},
+              {"rounds", std::to_string(ended.rounds)},
+              {"rounds_ms", inMilliseconds(ended.total)},
+              {"longest_round_ms", inMilliseconds(ended.longest)},
+              {"latest_round_ms", inMilliseconds(ended.latest)},
+              {"processor_ms", std::to_string(used / (CLOCKS_PER_SEC / 1000))}});
 }
 
 void logWaits(Dispatcher &dispatcher, Metrics &metrics, TimePoint now)
--- a/packages/fleet/internal/holderlog.h
+++ b/packages/fleet/internal/holderlog.h
@@ -4,13 +4,28 @@
 #include "dispatch/dispatcher.h"
 #include "metrics/metrics.h"
 
+#include <ctime>
+
 namespace acaciadeal::internal {
 
 /// Logs and counts what the dispatcher found out since the last call.
 void logFindings(Dispatcher &dispatcher, Metrics &metrics);
 
-/// Logs the sums over the fleet.
-void logStatus(const FleetState &fleet, TimePoint now);
+/// Rounds of decisions since the last status line.
+struct RoundTimes
+{
+    int rounds = 0;
+    /// Elapsed time of the decisions, without sending the orders.
+    Duration total{0};
+    Duration longest{0};
+    /// Longest time by which a round began late; the control thread was busy or got no processor.
+    Duration latest{0};
+    /// Processor time of the process up to the last status line.
+    std::clock_t processorTime = 0;
+};
+
+/// Logs the sums over the fleet and what deciding took, and begins to measure anew.
+void logStatus(const FleetState &fleet, RoundTimes &rounds, TimePoint now);
 
 /// Wait from which a task's reason to wait is logged.
 inline constexpr Duration reportedWait = std::chrono::seconds(2);
