Look at hosts with room only when long-running tasks are overdue

Cause: a round asked all hosts anew for each waiting long-running task whether two of its kind fit. With 490 hosts and 780 overdue tasks a round takes 8.8 ms of processor time, and rounds follow each other every 5 ms; the holder's share is half a processor at most. It used up its share and stood still for 0.2 to 0.4 s in each second, in which ends were not taken in and room stayed empty. The class: work in each round that grows with the product of hosts and waiting tasks, most of all when the fleet is full.

A round now sorts the hosts of a service by free processors at the first question, looks only at those that had enough, and passes over steps that fit nowhere. As room only shrinks within a round, this changes no answer, but for steps that require a label: hosts without it no longer count as room for two.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -425,13 +425,14 @@
 enum class StartRule : std::uint8_t { OverdueOnly, Any };
 
 bool mayStart(const Dispatcher &dispatcher, const JobRuntime &job, const StepSpec &step,
-              const TaskRuntime &task, StartRule rule, TimePoint now)
+              const TaskRuntime &task, StartRule rule, RoomMemo &noRoom, TimePoint now)
 {
     if (task.phase != TaskPhase::Waiting || now < task.notBefore) {
         return false;
     }
     if (rule == StartRule::OverdueOnly) {
-        return isOverdue(dispatcher.fleet, job.spec.terms.service, step, now - task.since);
+        return isOverdue(now - task.since)
+               && hasRoomTwice(dispatcher.fleet, noRoom, job.spec.terms.service, step);
     }
     return !step.longRunning || leavesUrgentRoom(dispatcher.fleet, step);
 }
@@ -443,7 +444,8 @@
     StepRuntime &step = job.steps[ready.step];
     const StepSpec &spec = job.spec.steps[ready.step];
     const PlacementPermits widest = widestPermits(dispatcher.fleet, job, ready.step);
-    if (hasNoRoom(noRoom, roomRequest(job, ready.step, widest))) {
+    if (exceedsAllRoom(dispatcher.fleet, noRoom, job.spec.terms.service, spec)
+        || hasNoRoom(noRoom, roomRequest(job, ready.step, widest))) {
         return;
     }
     // Permits for which no host was found; tasks of a step differ in nothing else that matters.
@@ -452,7 +454,7 @@
         TaskRuntime &task = step.tasks[n];
         const PlacementPermits permits = permitsOf(dispatcher.fleet, job, ready.step, task, now);
         if ((failed && covers(*failed, permits))
-            || !mayStart(dispatcher, job, spec, task, rule, now)) {
+            || !mayStart(dispatcher, job, spec, task, rule, noRoom, now)) {
             continue;
         }
         const RoomRequest request = roomRequest(job, ready.step, permits);
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -24,22 +24,6 @@
     return n;
 }
 
-bool isEligible(const FleetHost &host, const ServiceId &service, const StepSpec &step)
-{
-    return host.service == service
-           && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
-}
-
-/// Returns what a task of the step commits; batch tasks commit no processors.
-Resources committedNeed(const StepSpec &step)
-{
-    Resources need = step.taskSize;
-    if (step.backfill) {
-        need.milliCores = 0;
-    }
-    return need;
-}
-
 /// Returns the share of the host's serving processors that belong to @p image.
 double imageShare(const FleetHost &host, ImageId image)
 {
@@ -145,6 +129,21 @@
 
 } // namespace
 
+bool isEligible(const FleetHost &host, const ServiceId &service, const StepSpec &step)
+{
+    return host.service == service
+           && (step.requiredLabel.empty() || host.labels.contains(step.requiredLabel));
+}
+
+Resources committedNeed(const StepSpec &step)
+{
+    Resources need = step.taskSize;
+    if (step.backfill) {
+        need.milliCores = 0;
+    }
+    return need;
+}
+
 double idleMilliCores(const FleetHost &host)
 {
     const double used = static_cast<double>(host.committed.milliCores)
--- a/packages/dispatch/placement.h
+++ b/packages/dispatch/placement.h
@@ -20,6 +20,13 @@
 /// Pressure from one batch task above which a host does not count as room for its image.
 inline constexpr double maxDisturbance = 0.12;
 
+/// Returns whether @p host belongs to @p service and has the label that @p step requires.
+/// Thread-safe.
+bool isEligible(const FleetHost &host, const ServiceId &service, const StepSpec &step);
+
+/// Returns what a task of @p step commits; batch tasks commit no processors. Thread-safe.
+Resources committedNeed(const StepSpec &step);
+
 /// Returns whether any host, however busy, could ever run a task of @p step.
 bool canEverRun(const FleetState &fleet, const ServiceId &service, const StepSpec &step);
 
--- a/packages/dispatch/roommemo.cpp
+++ b/packages/dispatch/roommemo.cpp
@@ -3,6 +3,28 @@
 #include <algorithm>
 
 namespace acaciadeal {
+namespace {
+
+const std::vector<HostRoom> &hostsOf(const FleetState &fleet, RoomMemo &memo,
+                                     const ServiceId &service)
+{
+    const auto [it, isNew] = memo.hosts.try_emplace(service.value);
+    std::vector<HostRoom> &hosts = it->second;
+    if (!isNew) {
+        return hosts;
+    }
+    for (const FleetHost *const host : fleet.usable) {
+        if (host->service == service) {
+            hosts.push_back({.freeMilliCores = freeOn(*host).milliCores, .host = host});
+        }
+    }
+    std::sort(hosts.begin(), hosts.end(), [](const HostRoom &a, const HostRoom &b) {
+        return a.freeMilliCores > b.freeMilliCores;
+    });
+    return hosts;
+}
+
+} // namespace
 
 RoomRequest roomRequest(const JobRuntime &job, std::uint32_t step, const PlacementPermits &permits)
 {
@@ -45,4 +67,26 @@
     failed.push_back(request);
 }
 
+bool exceedsAllRoom(const FleetState &fleet, RoomMemo &memo, const ServiceId &service,
+                    const StepSpec &step)
+{
+    const std::vector<HostRoom> &hosts = hostsOf(fleet, memo, service);
+    return hosts.empty() || hosts.front().freeMilliCores < committedNeed(step).milliCores;
+}
+
+bool hasRoomTwice(const FleetState &fleet, RoomMemo &memo, const ServiceId &service,
+                  const StepSpec &step)
+{
+    const std::vector<HostRoom> &hosts = hostsOf(fleet, memo, service);
+    const std::int64_t need = committedNeed(step).milliCores;
+    int places = 0;
+    for (const HostRoom &room : hosts) {
+        if (room.freeMilliCores < need || places >= 2) {
+            break;
+        }
+        places += isEligible(*room.host, service, step) ? placesOn(*room.host, step) : 0;
+    }
+    return places >= 2;
+}
+
 } // namespace acaciadeal
--- a/packages/dispatch/roommemo.h
+++ b/packages/dispatch/roommemo.h
@@ -33,6 +33,12 @@
     const StepRuntime *limitedStep = nullptr;
 };
 
+struct HostRoom
+{
+    std::int64_t freeMilliCores = 0;
+    const FleetHost *host = nullptr;
+};
+
 /// Most requests of a kind that a RoomMemo holds; older ones make room for newer ones.
 inline constexpr std::size_t maxRoomMemoEntries = 16;
 
@@ -44,6 +50,9 @@
 {
     /// None covers another one.
     std::map<RoomKind, std::vector<RoomRequest>> failed;
+    /// By service, owned by a job, its usable hosts with the processors that were free on them when
+    /// the memo was first asked, most first.
+    std::map<std::string_view, std::vector<HostRoom>> hosts;
 };
 
 /// Returns what a task of @p job's step @p step with @p permits asks for. Precondition: the job has
@@ -60,6 +69,16 @@
 /// Records that no host was found for @p request.
 void rememberNoRoom(RoomMemo &memo, const RoomRequest &request);
 
+/// Returns whether no usable host of @p service had the processors for a task of @p step when
+/// @p memo was first asked. Precondition: rateOpenness() was called in this round.
+bool exceedsAllRoom(const FleetState &fleet, RoomMemo &memo, const ServiceId &service,
+                    const StepSpec &step);
+
+/// Returns whether the usable hosts together have room for two tasks of @p step of a job of
+/// @p service. Precondition: rateOpenness() was called in this round.
+bool hasRoomTwice(const FleetState &fleet, RoomMemo &memo, const ServiceId &service,
+                  const StepSpec &step);
+
 } // namespace acaciadeal
 
 #endif
--- /dev/null
+++ b/packages/dispatch/roundcost_test.cpp
@@ -0,0 +1,117 @@
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <doctest/doctest.h>
+
+using namespace acaciadeal;
+
+namespace {
+
+const TimePoint start = TimePoint(std::chrono::hours(1));
+const TimePoint overdueSince = start + std::chrono::seconds(10);
+
+constexpr int hostCount = 490;
+constexpr std::int64_t hostMilliCores = 37000;
+constexpr int overdueJobs = 260;
+constexpr std::uint32_t tasksOfJob = 3;
+
+/// Processor time that the smallest host for a holder, a quarter of a processor, has between two
+/// rounds, which are 5 ms apart.
+constexpr Duration roundBudget = std::chrono::microseconds(1250);
+
+JobSpec servingJob(const std::string &id, std::uint32_t tasks, std::int64_t milliCores)
+{
+    StepSpec step{.tasks = tasks,
+                  .taskSize = {.milliCores = milliCores, .memoryMiB = 1000},
+                  .estimatedRunTime = milliseconds(1000),
+                  .longRunning = true};
+    step.image = "serving";
+    step.tailTarget = milliseconds(100);
+    return {.id = {id},
+            .terms = {.queue = "q",
+                      .service = {"svc"},
+                      .maxAttempts = 3,
+                      .slowdownFactor = 2,
+                      .targetLatency = milliseconds(1000)},
+            .steps = {step}};
+}
+
+FleetHost host(const HostId &id, std::int64_t milliCores)
+{
+    return {.id = id,
+            .failureDomain = {"a"},
+            .service = {"svc"},
+            .capacity = {.milliCores = milliCores, .memoryMiB = 64000},
+            .listed = true,
+            .reported = true,
+            .reachable = true};
+}
+
+void addHosts(Dispatcher &dispatcher)
+{
+    for (int n = 0; n < hostCount; ++n) {
+        const HostId id{"host" + std::to_string(n)};
+        dispatcher.fleet.hosts[id] = host(id, hostMilliCores);
+    }
+}
+
+void add(Dispatcher &dispatcher, const JobSpec &spec)
+{
+    addJob(dispatcher, spec, emptyProgress(spec), 0, false, start);
+}
+
+Duration processorTime()
+{
+    timespec spent{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+    return std::chrono::seconds(spent.tv_sec) + std::chrono::nanoseconds(spent.tv_nsec);
+}
+
+/// Fills hosts but for a little, and lets more tasks than the fleet has room for become overdue.
+void addOverdueTasks(Dispatcher &dispatcher)
+{
+    addHosts(dispatcher);
+    add(dispatcher, servingJob("filler", hostCount, hostMilliCores - 1100));
+    REQUIRE(plan(dispatcher, start).starts.size() == hostCount);
+    for (int n = 0; n < overdueJobs; ++n) {
+        add(dispatcher, servingJob("overdue" + std::to_string(n), tasksOfJob, 9780 - 20 * n));
+    }
+}
+
+/// Returns the median processor time of some rounds, in which nothing starts.
+Duration roundCost(Dispatcher &dispatcher)
+{
+    std::array<Duration, 9> costs{};
+    for (Duration &cost : costs) {
+        const Duration before = processorTime();
+        const std::size_t started = plan(dispatcher, overdueSince).starts.size();
+        cost = processorTime() - before;
+        REQUIRE(started == 0);
+    }
+    std::sort(costs.begin(), costs.end());
+    return costs[costs.size() / 2];
+}
+
+} // namespace
+
+// Guards against a holder that uses up its share of a processor on tasks for which a full fleet has
+// no room, and so learns too late of the room that there is.
+TEST_CASE("a round stays cheap while many long-running tasks are overdue in a full fleet")
+{
+    Dispatcher dispatcher;
+    addOverdueTasks(dispatcher);
+    CHECK(roundCost(dispatcher) <= roundBudget);
+}
+
+TEST_CASE("a round stays cheap while many long-running tasks are overdue beside one place")
+{
+    Dispatcher dispatcher;
+    addOverdueTasks(dispatcher);
+    dispatcher.fleet.hosts[{"host490"}] = host({"host490"}, 9100);
+    // All that is free is kept for short tasks.
+    dispatcher.fleet.urgentMilliCores = 1e9;
+    dispatcher.fleet.urgentDemandAt = overdueSince;
+    CHECK(roundCost(dispatcher) <= roundBudget);
+}
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -62,19 +62,6 @@
     }
 };
 
-/// Returns whether the usable hosts together have room for two tasks of the step.
-bool hasRoomTwice(const FleetState &fleet, const ServiceId &service, const StepSpec &step)
-{
-    int places = 0;
-    for (const auto &[id, host] : fleet.hosts) {
-        if (!isUsable(fleet, host) || host.service != service) {
-            continue;
-        }
-        places += placesOn(host, step);
-    }
-    return places >= 2;
-}
-
 } // namespace
 
 std::vector<ReadyStep> readySteps(FleetState &fleet, TimePoint now)
@@ -135,10 +122,9 @@
     }
 }
 
-bool isOverdue(const FleetState &fleet, const ServiceId &service, const StepSpec &step,
-               Duration waited)
+bool isOverdue(Duration waited)
 {
-    return waited >= longWait && hasRoomTwice(fleet, service, step);
+    return waited >= longWait;
 }
 
 bool leavesUrgentRoom(const FleetState &fleet, const StepSpec &step)
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -27,9 +27,8 @@
 void updateUrgentDemand(FleetState &fleet, TimePoint now);
 
 /// Returns whether a long-running task that has waited for @p waited has to start before everything
-/// else: the fleet has room for it twice over, and each second away counts.
-bool isOverdue(const FleetState &fleet, const ServiceId &service, const StepSpec &step,
-               Duration waited);
+/// else once the fleet has room for it twice over: each second away counts. Thread-safe.
+bool isOverdue(Duration waited);
 
 /// Returns whether a long-running task may start although others wait: it leaves the room that
 /// short tasks need from time to time.
