Keep the first lines of each event when the log is over its limit

Ten lines of each event in a second are now written beyond the limit, which bounds the volume as before.

logging_test: the line of the rare event was missing before.

--- a/packages/logging/log.cpp
+++ b/packages/logging/log.cpp
@@ -8,6 +8,8 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <map>
 #include <memory>
 #include <poll.h>
 #include <sstream>
@@ -45,6 +47,8 @@
 constexpr Duration gatherTime = milliseconds(100);
 /// Most lines in one second; the rest is counted and dropped.
 constexpr int maxLinesPerSecond = 2000;
+/// Lines of each event in one second that are written beyond that.
+constexpr int keptLinesPerEvent = 10;
 
 /// Writes whole lines to standard output, and drops lines instead of waiting for its reader. The
 /// appender's own lock covers all of it.
@@ -74,9 +78,13 @@
         if (now - m_secondBegan >= std::chrono::seconds(1)) {
             m_secondBegan = now;
             m_linesInSecond = 0;
+            m_linesOfEvent.clear();
             reportDropped();
         }
-        if (++m_linesInSecond > maxLinesPerSecond) {
+        // A message begins with the number of its event.
+        const auto number = event.getMessage().substr(0, 4);
+        const bool isKept = ++m_linesOfEvent[number] <= keptLinesPerEvent;
+        if (++m_linesInSecond > maxLinesPerSecond && !isKept) {
             ++m_dropped;
             return;
         }
@@ -135,6 +143,7 @@
     TimePoint m_gatheredSince;
     TimePoint m_secondBegan;
     int m_linesInSecond = 0;
+    std::map<log4cplus::tstring, int> m_linesOfEvent;
     std::uint64_t m_dropped = 0;
 };
 
--- a/packages/logging/log_test.cpp
+++ b/packages/logging/log_test.cpp
@@ -68,3 +68,24 @@
     // Lines are dropped as a whole.
     CHECK(text.back() == '\n');
 }
+
+// Guards against frequent lines that hide what the process says of itself once in a while.
+TEST_CASE("too many lines of one event do not drop the first lines of another")
+{
+    std::string text;
+    {
+        const CapturedOutput captured;
+        openLog({.daemon = "d1"});
+        for (int n = 0; n < 3000; ++n) {
+            logEvent(EventId::TaskOrdered, {{"task", std::to_string(n)}});
+            flushLog();
+            text += captured.read();
+        }
+        logEvent(EventId::FleetStatus, {{"hosts", "3"}});
+        flushLog();
+        text += captured.read();
+    }
+    CHECK(text.find("TaskOrdered task=0") != std::string::npos);
+    CHECK(text.find("TaskOrdered task=2999") == std::string::npos);
+    CHECK(text.find("FleetStatus hosts=3") != std::string::npos);
+}
