Acknowledge durable ends while further ends are being written

Callers would see: on a busy host, ends that are never taken note of, lists of ends that grow with every renewal, and a holder that spends its time reading them again.

If its answer lists an end that is new, renewNext() waits for the write of that end and does not send the acknowledgement that the answer allows. After that write the last answer is old again. As long as an end arrives during each write, nothing is acknowledged.

Evidence: found by reading. The new test (an end every 50 ms, writes of 200 ms, 200 ms between repeated renewals) failed before in 3 of 3 runs; the host listed every end that it had had: ERROR: CHECK( onLoop(cluster.loop, [&] { return cluster.hosts.host("h0").ended.size(); }) <= tasks / 2 ) values: CHECK( 30 <= 15 )

Fix: a renewal waits for a write only if it has nothing to acknowledge. After an answer the clock is fresh, so the acknowledgement goes out at once, and only ends that are not durable hold back the next renewal. The guard is unchanged.

--- a/packages/fleet/fakehosts.cpp
+++ b/packages/fleet/fakehosts.cpp
@@ -106,6 +106,7 @@
     if (renewal.leaseUntil) {
         host.leaseUntil = std::max(host.leaseUntil, *renewal.leaseUntil);
     }
+    host.acknowledgements.push_back(renewal.acknowledged);
     std::erase_if(host.ended, [&renewal](const RunEnding &ended) {
         return ended.number <= renewal.acknowledged;
     });
--- a/packages/fleet/fakehosts.h
+++ b/packages/fleet/fakehosts.h
@@ -25,6 +25,8 @@
     bool losesStartAnswers = false;
     std::map<TaskKey, std::uint64_t> active;
     std::vector<RunEnding> ended;
+    /// Number up to which each renewal that was carried out acknowledged ends.
+    std::vector<std::uint64_t> acknowledgements;
     /// Every start that was carried out.
     std::vector<std::pair<TaskKey, std::uint64_t>> starts;
     milliseconds leaseUntil{0};
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -693,6 +693,31 @@
     CHECK(cluster.startsOf("late") == 1);
 }
 
+// Guards against ends that pile up on a busy host: each answer that shows its life lists a further
+// end, and the acknowledgement of the durable ones waits for the write of that end.
+TEST_CASE("ends are acknowledged while further ones arrive during each write")
+{
+    constexpr std::uint32_t tasks = 30;
+    Cluster cluster(1);
+    cluster.hostRetry = milliseconds(200);
+    cluster.progressDelay = milliseconds(200);
+    cluster.hold(1);
+    JobSpec job = oneTask("j");
+    job.steps[0].tasks = tasks;
+    job.steps[0].taskSize.milliCores = 100;
+    cluster.submit(job);
+    REQUIRE(
+        eventually(cluster.loop, [&] { return cluster.hosts.host("h0").active.size() == tasks; }));
+    for (std::uint32_t n = 0; n < tasks; ++n) {
+        onLoop(cluster.loop, [&cluster, n] {
+            cluster.hosts.end("h0", {.job = {"j"}, .index = n}, RunEnd::Done);
+            return true;
+        });
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.host("h0").ended.size(); }) <= tasks / 2);
+}
+
 // Guards against an ended job that runs again under the next holder: its progress was removed, and
 // the store refused to remove the job itself.
 TEST_CASE("a job that is removed in part does not run again")
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -38,6 +38,12 @@
     return std::chrono::duration_cast<Duration>(lease * hostClockSlack) + lapseSlack;
 }
 
+/// Whether durable ends are to be acknowledged. A host that failed to answer may be in a new life.
+bool owesAcknowledgement(const HostLink &link, const FleetHost &host)
+{
+    return link.failures == 0 && host.durableEnd > link.acknowledgedEnd;
+}
+
 /// Removal of ended jobs. The progress goes last: a job without it would run again under the next
 /// holder.
 struct Removal
@@ -340,7 +346,7 @@
     const FleetHost *const host = findHost(dispatcher.fleet, link.id);
     // Each end is acknowledged once: a new life of the host counts its ends from 1, and would take
     // a repeated number for the acknowledgement of ends that nobody has read.
-    if (host != nullptr && link.failures == 0 && host->durableEnd > link.acknowledgedEnd) {
+    if (host != nullptr && owesAcknowledgement(link, *host)) {
         if (link.clock && now - link.clock->readAt <= freshAnswer) {
             renewal.acknowledged = host->durableEnd;
         } else {
@@ -449,7 +455,7 @@
         renew(link, milliseconds(0), now);
         return;
     }
-    if (host->seenEnd > host->durableEnd) {
+    if (host->seenEnd > host->durableEnd && !owesAcknowledgement(link, *host)) {
         // A renewal would return at once with the same ends; their write is on its way.
         link.nextAt = now + options.hostRetry;
         return;
