Compare the head of the settings with the tree at the time of the request

Callers saw: one of two operators who wrote neighbouring paths was refused with 503 and code 5001, PlatformUnavailable, "the platform returned an older settings version", where settings/head. The platform was fine.

Cause: the head row was compared with the version of the tree at the time of the answer. An entry that a peer pushed after the platform had answered moved the tree past the head, and a correct answer counted as stale. The periodic read met the same in a race with a commit of its own daemon and logged SettingsStale without reason.

Change: the version of the tree is noted when the head is requested, and only an older head is refused as stale. Entries reach the tree after their commit, so a platform that is not behind answers with at least that version. A head that was overtaken ends the read with the head row unknown, and the writer reads again. Each further read means that another writer succeeded; the answer limit ends the write.

--- a/packages/daemon/settingsservice.cpp
+++ b/packages/daemon/settingsservice.cpp
@@ -196,16 +196,19 @@
     void readHead()
     {
         context.platform.read({.keys = {headKey, snapshotKey}},
-                              [self = shared_from_this()](const Result<std::vector<Row>> &rows) {
+                              [self = shared_from_this(), versionAtRequest = tree.version](
+                                  const Result<std::vector<Row>> &rows) {
                                   if (!rows) {
                                       self->finishRead(tl::unexpected<Error>(rows.error()));
                                       return;
                                   }
-                                  self->onHead(*rows);
+                                  self->onHead(versionAtRequest, *rows);
                               });
     }
 
-    void onHead(const std::vector<Row> &rows)
+    /// @p versionAtRequest is the version of the tree when the head was requested. Only a head
+    /// older than that is stale: the tree may have moved on while the answer was on its way.
+    void onHead(std::uint64_t versionAtRequest, const std::vector<Row> &rows)
     {
         KnownRow newHead;
         KnownRow newSnapshot;
@@ -217,16 +220,16 @@
             }
             (row.key == headKey ? newHead : newSnapshot) = {*number, row.version};
         }
-        if (newHead.settingsVersion < tree.version) {
+        if (newHead.settingsVersion < versionAtRequest) {
             logEvent(EventId::SettingsStale, {{"source", "platform"},
                                               {"received", std::to_string(newHead.settingsVersion)},
-                                              {"in_force", std::to_string(tree.version)}});
+                                              {"in_force", std::to_string(versionAtRequest)}});
             finishRead(failure(ResultCode::PlatformUnavailable,
                                "the platform returned an older settings version", headKey));
             return;
         }
         snapshot = newSnapshot;
-        if (newHead.settingsVersion - tree.version > snapshotInterval
+        if (newHead.settingsVersion > tree.version + snapshotInterval
             && newSnapshot.settingsVersion > tree.version) {
             readSnapshot(newHead);
             return;
--- a/packages/daemon/settingsservice_test.cpp
+++ b/packages/daemon/settingsservice_test.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <utility>
 
 using namespace acaciadeal;
 using nlohmann::json;
@@ -44,6 +45,13 @@
             ++reads;
             if (down) {
                 loop.post([callback] { callback(failure(ResultCode::PlatformUnavailable, "")); });
+            } else if (holding.exchange(false)) {
+                inner.read(query, [this, callback](const Result<std::vector<Row>> &found) {
+                    held = [callback, rows = older ? std::vector<Row>{} : *found] {
+                        callback(rows);
+                    };
+                    holds = true;
+                });
             } else if (older) {
                 loop.post([callback] { callback(std::vector<Row>{}); });
             } else {
@@ -61,9 +69,21 @@
         return result.get_future().get();
     }
 
+    /// Delivers the answer that is held. Precondition: @ref holds is set.
+    void release()
+    {
+        holds = false;
+        loop.post(std::exchange(held, {}));
+    }
+
     EventLoop &loop;
     PlatformAdapter inner;
     std::atomic<bool> down{false};
+    /// Whether the answer to the next read is held until release().
+    std::atomic<bool> holding{false};
+    /// Whether an answer is held.
+    std::atomic<bool> holds{false};
+    std::function<void()> held;
     /// Reads return nothing, as from a copy without any settings.
     std::atomic<bool> older{false};
     /// Commits that take effect and whose answer is lost.
@@ -127,9 +147,9 @@
         loop.stop();
     }
 
-    Daemon &add(SettingsServiceOptions options = {})
+    Daemon &add(SettingsServiceOptions options = {}, Duration pollPeriod = milliseconds(5))
     {
-        options.pollPeriod = milliseconds(5);
+        options.pollPeriod = pollPeriod;
         options.resendPeriod = milliseconds(5);
         daemons.push_back(std::make_unique<Daemon>(loop, platform, std::move(options)));
         return *daemons.back();
@@ -164,6 +184,45 @@
 
 const std::string drain = "/system/drain_rate";
 
+/// Two daemons that read only for their writes, so that a test can hold the head read of one. The
+/// entries of @ref peer reach @ref daemon at once; the other way they come from the platform.
+struct PeerPair
+{
+    explicit PeerPair(Duration answerLimit = std::chrono::seconds(10))
+        : daemon(fixture.add({.answerLimit = answerLimit}, std::chrono::hours(1)))
+        , peer(fixture.add({.pushToPeers =
+                                [this](const SettingsEntries &entries) {
+                                    CHECK(daemon.service->onPeerEntries(entries).has_value());
+                                }},
+                           std::chrono::hours(1)))
+    {
+        // Once these have succeeded, no read of the start is on its way.
+        REQUIRE(daemon.put(drain, "30", "0", "r1").get().status == 200);
+        putThroughPeer();
+    }
+
+    /// Returns the answer to a write whose head read is held.
+    std::future<HttpResponse> putAndHold()
+    {
+        fixture.platform.holding = true;
+        auto answer = daemon.put(drain, "40", "1", "r2");
+        waitUntil([this] { return fixture.platform.holds.load(); });
+        return answer;
+    }
+
+    void putThroughPeer()
+    {
+        const std::string expected = std::to_string(peerWrites++);
+        REQUIRE(peer.put("/teams/crew/weight", "2", expected, "p" + expected).get().status == 200);
+        REQUIRE(daemon.service->version() == peer.service->version());
+    }
+
+    Fixture fixture;
+    Daemon &daemon;
+    Daemon &peer;
+    int peerWrites = 0;
+};
+
 } // namespace
 
 // Guards against one operator overwriting the change of another unseen.
@@ -292,6 +351,65 @@
           == static_cast<int>(ResultCode::PlatformUnavailable));
 }
 
+// Guards against a write being refused because a peer's entry overtook the answer to its head read.
+TEST_CASE("a peer's entry that arrives during the head read does not refuse the write")
+{
+    PeerPair pair;
+    auto answer = pair.putAndHold();
+    pair.putThroughPeer();
+    pair.fixture.platform.release();
+    const HttpResponse response = answer.get();
+    CAPTURE(response.body);
+    CHECK(response.status == 200);
+    CHECK(pair.daemon.service->version() == 4);
+    CHECK(pair.fixture.platform.rows("settings/log/").size() == 4);
+}
+
+// Guards against an older copy of the platform passing as one that was overtaken.
+TEST_CASE("an older platform refuses the write although a peer's entry arrives")
+{
+    PeerPair pair;
+    pair.fixture.platform.older = true;
+    auto answer = pair.putAndHold();
+    pair.fixture.platform.older = false;
+    pair.putThroughPeer();
+    pair.fixture.platform.release();
+    const json body = json::parse(answer.get().body);
+    CHECK(body["code"] == static_cast<int>(ResultCode::PlatformUnavailable));
+    CHECK(body["where"] == "settings/head");
+    CHECK(pair.daemon.service->version() == 3);
+}
+
+// Guards against a write that repeats its head read without end.
+TEST_CASE("a write whose every head read is overtaken is answered at the limit")
+{
+    PeerPair pair(milliseconds(500));
+    FaultyPlatform &platform = pair.fixture.platform;
+    auto answer = pair.putAndHold();
+    const auto answered = [&answer] {
+        return answer.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    };
+    int overtaken = 0;
+    while (!answered()) {
+        pair.putThroughPeer();
+        platform.holding = true;
+        platform.release();
+        waitUntil([&] { return platform.holds || answered(); });
+        ++overtaken;
+    }
+    CHECK(overtaken > 1);
+    const json body = json::parse(answer.get().body);
+    CHECK(body["code"] == static_cast<int>(ResultCode::PlatformUnavailable));
+    CHECK(body["where"] == drain);
+    platform.holding = false;
+    // A read that was sent before the answer is held by the time this has run.
+    pair.fixture.onControl([] { return true; });
+    if (platform.holds) {
+        platform.release();
+    }
+    CHECK(pair.daemon.put(drain, "50", "1", "r3").get().status == 200);
+}
+
 // Guards against a damaged or absent row being skipped, which would put daemons at different trees.
 TEST_CASE("a row that is not valid stops the tree before it")
 {
