Count ends as durable only in the life of the host that listed them

A host whose end is acknowledged too early forgets it while its progress is not stored. If the holder dies then, its successor runs the task again.

Cause: the writer noted the number of each host's newest end when it sent a write, and compared it at the time of the answer with what the host had listed by then. A host that began a new life meanwhile counts its ends from 1, so the number of an end of the former life covered ends of the new one that were not part of the write. The check for a smaller number caught only lives with fewer ends.

Evidence: the new case of fleet_test delays the answers of the store by 300 ms and restarts the host while the write of an end is on its way.

Change: the birth of the host's life is noted with the number, and both have to match. A host that was forgotten and came back has no birth until it reports, so it is covered too. A case that restarts a host in the same way shares its steps; what it checks is unchanged.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -68,6 +68,8 @@
     std::set<std::string> unlisted;
     /// Time that an answer to a write of progress takes.
     Duration progressDelay{0};
+    /// Progress rows of which a delayed write was answered.
+    std::set<std::string> storedProgress;
     /// Whether the store refuses to remove jobs.
     bool keepsJobRows = false;
     Duration hostRetry = milliseconds(20);
@@ -102,15 +104,17 @@
             }
             const bool isProgress =
                 !transaction.puts.empty() && transaction.puts[0].key.starts_with("progress/");
-            commit(transaction,
-                   [this, delay = isProgress ? progressDelay : Duration(0),
-                    callback = std::move(callback)](const Result<CommitVersions> &result) {
-                       if (delay == Duration(0)) {
-                           callback(result);
-                           return;
-                       }
-                       loop.postAfter(delay, [result, callback] { callback(result); });
-                   });
+            commit(transaction, [this, isProgress, callback = std::move(callback)](
+                                    const Result<CommitVersions> &result) {
+                if (!isProgress || progressDelay == Duration(0)) {
+                    callback(result);
+                    return;
+                }
+                loop.postAfter(progressDelay, [this, result, callback] {
+                    noteProgress(result);
+                    callback(result);
+                });
+            });
         };
     }
 
@@ -197,6 +201,13 @@
         REQUIRE(stored.get_future().get());
     }
 
+    void noteProgress(const Result<CommitVersions> &result)
+    {
+        for (const auto &[key, version] : result.value_or(CommitVersions())) {
+            storedProgress.insert(key);
+        }
+    }
+
     bool runs(const std::string &id)
     {
         return eventually(loop, [this, &id] { return hosts.activeRuns(taskOf(id)) == 1; });
@@ -226,6 +237,34 @@
         return state.get_future().get();
     }
 
+    /// Ends job "early" on h0, and restarts h0 while the write of this end is on its way; the first
+    /// end of its new life is that of job "late".
+    void restartDuringWrite(FleetHolder &holder)
+    {
+        submit(oneTask("early"));
+        submit(oneTask("late"));
+        REQUIRE(runs("early"));
+        REQUIRE(runs("late"));
+        onLoop(loop, [&] {
+            hosts.end("h0", taskOf("early"), RunEnd::Done);
+            return true;
+        });
+        REQUIRE(eventually(loop, [&] {
+            return acaciadeal::stateOf(*findJob(holder.dispatcher().fleet, {"early"}))
+                   == JobState::Completed;
+        }));
+        // Longer than the delay after which the write of the end is sent.
+        std::this_thread::sleep_for(milliseconds(50));
+        onLoop(loop, [&] {
+            FakeHost &host = hosts.host("h0");
+            host.bornAt = milliseconds(2);
+            host.ends = 0;
+            host.ended.clear();
+            hosts.end("h0", taskOf("late"), RunEnd::Done);
+            return true;
+        });
+    }
+
     std::size_t startsOf(const std::string &id)
     {
         return onLoop(loop, [this, &id] {
@@ -666,26 +705,7 @@
     cluster.hostRetry = patience;
     cluster.progressDelay = milliseconds(300);
     FleetHolder &holder = cluster.hold(1);
-    cluster.submit(oneTask("early"));
-    cluster.submit(oneTask("late"));
-    REQUIRE(cluster.runs("early"));
-    REQUIRE(cluster.runs("late"));
-    onLoop(cluster.loop, [&] {
-        cluster.hosts.end("h0", taskOf("early"), RunEnd::Done);
-        return true;
-    });
-    REQUIRE(eventually(cluster.loop, [&] {
-        return stateOf(*findJob(holder.dispatcher().fleet, {"early"})) == JobState::Completed;
-    }));
-    std::this_thread::sleep_for(milliseconds(50));
-    onLoop(cluster.loop, [&] {
-        FakeHost &host = cluster.hosts.host("h0");
-        host.bornAt = milliseconds(2);
-        host.ends = 0;
-        host.ended.clear();
-        cluster.hosts.end("h0", taskOf("late"), RunEnd::Done);
-        return true;
-    });
+    cluster.restartDuringWrite(holder);
     CHECK(eventually(cluster.loop, [&] {
         return stateOf(*findJob(holder.dispatcher().fleet, {"late"})) == JobState::Completed
                || cluster.hosts.host("h0").starts.size() > 2;
@@ -718,6 +738,19 @@
     CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.host("h0").ended.size(); }) <= tasks / 2);
 }
 
+// Guards against work that is done twice: a host restarts and ends a task while the write of an
+// earlier end is on its way, and its answer makes the new end pass for durable.
+TEST_CASE("a write that began in a host's former life makes no end of the new one durable")
+{
+    Cluster cluster(1);
+    cluster.progressDelay = milliseconds(300);
+    FleetHolder &holder = cluster.hold(1);
+    cluster.restartDuringWrite(holder);
+    REQUIRE(eventually(cluster.loop, [&] { return cluster.hosts.host("h0").ended.empty(); }));
+    CHECK(onLoop(cluster.loop,
+                 [&] { return cluster.storedProgress.contains(progressRowKey({"late"})); }));
+}
+
 // Guards against an ended job that runs again under the next holder: its progress was removed, and
 // the store refused to remove the job itself.
 TEST_CASE("a job that is removed in part does not run again")
--- a/packages/fleet/internal/progresswriter.cpp
+++ b/packages/fleet/internal/progresswriter.cpp
@@ -81,11 +81,11 @@
         transaction.puts.push_back({key, encodeProgress(job->progress)});
         jobs.push_back(id);
     }
-    std::map<HostId, std::uint64_t> ends;
+    HostEnds ends;
     if (dirty.empty()) {
         for (const auto &[id, host] : m_env.fleet.hosts) {
             if (host.durableEnd != host.seenEnd) {
-                ends[id] = host.seenEnd;
+                ends[id] = {.bornAt = host.bornAt, .number = host.seenEnd};
             }
         }
     }
@@ -102,8 +102,7 @@
                           });
 }
 
-void ProgressWriter::onWritten(const std::vector<JobId> &jobs,
-                               const std::map<HostId, std::uint64_t> &ends,
+void ProgressWriter::onWritten(const std::vector<JobId> &jobs, const HostEnds &ends,
                                const Result<CommitVersions> &result)
 {
     m_writing = false;
@@ -153,13 +152,13 @@
     });
 }
 
-void ProgressWriter::markDurable(const std::map<HostId, std::uint64_t> &ends)
+void ProgressWriter::markDurable(const HostEnds &ends)
 {
-    for (const auto &[id, number] : ends) {
+    for (const auto &[id, end] : ends) {
         FleetHost *const host = findHost(m_env.fleet, id);
-        // A host that began a new life counts from 1 again.
-        if (host != nullptr && number <= host->seenEnd) {
-            host->durableEnd = std::max(host->durableEnd, number);
+        // A host that began a new life, or that was forgotten and came back, counts anew.
+        if (host != nullptr && end.bornAt == host->bornAt && end.number <= host->seenEnd) {
+            host->durableEnd = std::max(host->durableEnd, end.number);
         }
     }
     answerWaiters();
--- a/packages/fleet/internal/progresswriter.h
+++ b/packages/fleet/internal/progresswriter.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace acaciadeal {
@@ -57,13 +58,21 @@
         std::function<void(bool)> callback;
     };
 
+    /// An end that a host listed in the life that began at @ref bornAt.
+    struct HostEnd
+    {
+        std::optional<milliseconds> bornAt;
+        std::uint64_t number = 0;
+    };
+    using HostEnds = std::map<HostId, HostEnd>;
+
     bool isClean() const;
     void schedule(Duration delay);
     void flush();
-    void onWritten(const std::vector<JobId> &jobs, const std::map<HostId, std::uint64_t> &ends,
+    void onWritten(const std::vector<JobId> &jobs, const HostEnds &ends,
                    const Result<CommitVersions> &result);
     void mergeRow(const std::string &key);
-    void markDurable(const std::map<HostId, std::uint64_t> &ends);
+    void markDurable(const HostEnds &ends);
     void answerWaiters();
 
     ProgressWriterEnvironment m_env;
