Ignore the outcome of a renewal that an earlier epoch sent

A daemon that gave its shard up because a host refused its token, and claimed it again, could lose it a second time to an answer of its own earlier renewal, and the shard was recovered once more.

Cause: the outcome of a renewal was judged by the epoch at the time of the answer. The renewal of the former epoch checks the former owner row, so its check fails after the new claim, and the daemon took this for a claim by another one. A late success set the confirmation of the new epoch back.

Evidence: the new case of fleet_test holds a renewal until the daemon has claimed the shard again.

Change: a renewal notes its epoch, and its outcome counts only in this epoch.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -443,6 +443,9 @@
     PlatformAdapter store;
     std::array<PlatformAdapter, 2> adapters;
     std::array<bool, 2> cutOff{};
+    /// Whether the next write of the first daemon reaches the store only with releaseWrite().
+    bool holdsNextWrite = false;
+    std::function<void()> heldWrite;
     std::array<std::uint64_t, 2> epochs{};
     std::vector<std::unique_ptr<ShardOwnership>> daemons;
 
@@ -480,6 +483,11 @@
         adapters[n].commit = [this, n](Transaction transaction, CommitCallback callback) {
             if (cutOff[n]) {
                 refuse(std::move(callback));
+            } else if (n == 0 && std::exchange(holdsNextWrite, false)) {
+                heldWrite = [this, transaction = std::move(transaction),
+                             callback = std::move(callback)] {
+                    store.commit(transaction, callback);
+                };
             } else {
                 store.commit(std::move(transaction), std::move(callback));
             }
@@ -517,6 +525,14 @@
         });
     }
 
+    void releaseWrite()
+    {
+        onLoop(loop, [this] {
+            std::exchange(heldWrite, nullptr)();
+            return true;
+        });
+    }
+
     bool mayAct(std::size_t n)
     {
         return onLoop(loop, [this, n] { return daemons[n]->mayAct(); });
@@ -565,6 +581,26 @@
     CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[0]; }) == 1);
 }
 
+// Guards against a holder that gives up its shard by the outcome of a renewal of an earlier epoch.
+TEST_CASE("a late renewal of an earlier epoch does not depose the holder")
+{
+    Rivals rivals;
+    rivals.start(0);
+    REQUIRE(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    onLoop(rivals.loop, [&] { return rivals.holdsNextWrite = true; });
+    REQUIRE(eventually(rivals.loop, [&] { return rivals.heldWrite != nullptr; }));
+    onLoop(rivals.loop, [&] {
+        rivals.daemons[0]->depose("a host has seen a newer holder");
+        return true;
+    });
+    REQUIRE(eventually(rivals.loop, [&] { return rivals.daemons[0]->mayAct(); }));
+    REQUIRE(onLoop(rivals.loop, [&] { return rivals.epochs[0]; }) == 2);
+    rivals.releaseWrite();
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(rivals.mayAct(0));
+    CHECK(onLoop(rivals.loop, [&] { return rivals.epochs[0]; }) == 2);
+}
+
 // Guards against a wait for the silence of a holder that said it was leaving.
 TEST_CASE("a released shard is claimed at once")
 {
--- a/packages/fleet/ownership.cpp
+++ b/packages/fleet/ownership.cpp
@@ -196,17 +196,17 @@
     Transaction transaction{
         .checks = {{ownerKey(), m_ownerVersion}},
         .puts = {{aliveKey(), std::to_string(m_owner.epoch) + "." + std::to_string(m_renewals)}}};
-    m_platform.commit(std::move(transaction),
-                      [this, sentAt = bootNow()](const Result<CommitVersions> &result) {
-                          onRenewed(result, sentAt);
-                      });
+    m_platform.commit(std::move(transaction), [this, epoch = m_owner.epoch, sentAt = bootNow()](
+                                                  const Result<CommitVersions> &result) {
+        // The shard may have been given up and claimed again meanwhile.
+        if (m_held && !m_stopped && epoch == m_owner.epoch) {
+            onRenewed(result, sentAt);
+        }
+    });
 }
 
 void ShardOwnership::onRenewed(const Result<CommitVersions> &result, TimePoint sentAt)
 {
-    if (!m_held || m_stopped) {
-        return;
-    }
     if (result) {
         m_confirmedAt = sentAt;
         if (std::exchange(m_storeLost, false)) {
