Do not count the time of an answer as silence of a shard's holder

With a slow platform a daemon could claim the shard of a holder that renewed its row in time, and the shard was recovered without need.

Cause: the silence was measured from one answer to another. A read shows the row as it was when the platform carried it out, so the holder may have renewed it while the answer was on its way.

Change: the watch gets the times of the request and of the answer of each read. The silence begins with the first answer that shows the row and ends with the last request that still shows it, as in the fleet's ownership of shards.

--- a/packages/daemon/claimwatch.cpp
+++ b/packages/daemon/claimwatch.cpp
@@ -2,14 +2,14 @@
 
 namespace acaciadeal {
 
-bool noteAliveRead(ClaimWatch &watch, std::uint64_t aliveVersion, TimePoint readAt,
+bool noteAliveRead(ClaimWatch &watch, std::uint64_t aliveVersion, const ReadTimes &read,
                    Duration silence)
 {
     if (!watch.unchangedSince || watch.aliveVersion != aliveVersion) {
         watch.aliveVersion = aliveVersion;
-        watch.unchangedSince = readAt;
+        watch.unchangedSince = read.answeredAt;
     }
-    return readAt - *watch.unchangedSince >= silence;
+    return read.sentAt - *watch.unchangedSince >= silence;
 }
 
 void noteAliveUnread(ClaimWatch &watch)
--- a/packages/daemon/claimwatch.h
+++ b/packages/daemon/claimwatch.h
@@ -12,14 +12,21 @@
 struct ClaimWatch
 {
     std::uint64_t aliveVersion = 0;
-    /// Time of the first read that showed this version.
+    /// Time of the first answer that showed this version.
     std::optional<TimePoint> unchangedSince;
 };
 
-/// Takes in a successful read of the alive row and returns whether it has been unchanged for
+/// When a read was sent and answered. The platform carried it out in between.
+struct ReadTimes
+{
+    TimePoint sentAt;
+    TimePoint answeredAt;
+};
+
+/// Takes in a successful read of the alive row and returns whether it was provably unchanged for
 /// @p silence. Only times of reads count: a daemon that was paused, or that could not read, has not
 /// seen the holder being silent.
-bool noteAliveRead(ClaimWatch &watch, std::uint64_t aliveVersion, TimePoint readAt,
+bool noteAliveRead(ClaimWatch &watch, std::uint64_t aliveVersion, const ReadTimes &read,
                    Duration silence);
 
 /// Takes in that the row could not be read; the silence has to be seen anew.
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -280,7 +280,7 @@
     for (const auto &shard : shards) {
         shard->onPlatformView(now);
     }
-    if (view.readAt) {
+    if (view.rowsRead) {
         members->onListed(view.members);
     }
     std::vector<HostRecord> instances;
--- a/packages/daemon/platformwatch.cpp
+++ b/packages/daemon/platformwatch.cpp
@@ -58,19 +58,20 @@
         const ShardId shard{domain.value};
         query.keys.insert(query.keys.end(), {ownerKey(shard), aliveKey(shard), domainKey(domain)});
     }
-    m_context.platform.read(query, [this](const Result<std::vector<Row>> &rows) {
+    m_context.platform.read(query, [this, sentAt = std::chrono::steady_clock::now()](
+                                       const Result<std::vector<Row>> &rows) {
         m_readingRows = false;
         noteReachable(rows.has_value());
         if (rows) {
-            onRows(*rows);
+            onRows(*rows, sentAt);
         }
         m_onUpdate();
     });
 }
 
-void PlatformWatch::onRows(const std::vector<Row> &rows)
+void PlatformWatch::onRows(const std::vector<Row> &rows, TimePoint sentAt)
 {
-    m_view.readAt = std::chrono::steady_clock::now();
+    m_view.rowsRead = {.sentAt = sentAt, .answeredAt = std::chrono::steady_clock::now()};
     std::map<std::string, const Row *> byKey;
     for (const Row &row : rows) {
         byKey[row.key] = &row;
--- a/packages/daemon/platformwatch.h
+++ b/packages/daemon/platformwatch.h
@@ -1,6 +1,7 @@
 #ifndef ACACIADEAL_DAEMON_PLATFORMWATCH_H
 #define ACACIADEAL_DAEMON_PLATFORMWATCH_H
 
+#include "daemon/claimwatch.h"
 #include "daemon/context.h"
 #include "daemon/rowkeys.h"
 
@@ -31,8 +32,8 @@
 struct PlatformView
 {
     bool reachable = false;
-    /// Time of the last successful read.
-    std::optional<TimePoint> readAt;
+    /// Times of the last successful read of the rows.
+    std::optional<ReadTimes> rowsRead;
     std::map<ShardId, OwnerView> owners;
     std::map<FailureDomainId, DomainView> domains;
     std::map<HostId, HostRow> hostRows;
@@ -69,7 +70,7 @@
     void readHostRows();
     void readHosts();
     void readMembers();
-    void onRows(const std::vector<Row> &rows);
+    void onRows(const std::vector<Row> &rows, TimePoint sentAt);
 
     DaemonContext &m_context;
     PlatformWatchOptions m_options;
--- a/packages/daemon/shardrunner.cpp
+++ b/packages/daemon/shardrunner.cpp
@@ -120,13 +120,13 @@
 {
     const PlatformView &view = watch.view();
     const auto it = view.owners.find(shard);
-    if (it == view.owners.end() || !view.readAt || !view.reachable) {
+    if (it == view.owners.end() || !view.rowsRead || !view.reachable) {
         noteAliveUnread(claimWatch);
         return;
     }
     const OwnerView &row = it->second;
     const bool isSilent =
-        noteAliveRead(claimWatch, row.aliveVersion, *view.readAt, options.claimAfter);
+        noteAliveRead(claimWatch, row.aliveVersion, *view.rowsRead, options.claimAfter);
     const bool isOwned = phase == ShardPhase::Recovering || phase == ShardPhase::Holding;
     if (isOwned && row.owner && row.owner->epoch > ownership.epoch) {
         lose("another daemon claimed the shard");
