--- a/packages/daemon/settingsservice.cpp
+++ b/packages/daemon/settingsservice.cpp
@@ -455,14 +455,16 @@
         const std::uint64_t version = tree.version;
         context.platform.putObject(
             snapshotName(version), encodeSnapshot(tree),
-            [self = shared_from_this(), version](const Result<void> &stored) {
+            [self = shared_from_this(), version,
+             rowVersion = snapshot.rowVersion](const Result<void> &stored) {
                 if (!stored) {
                     self->storingSnapshot = false;
                     return;
                 }
-                // Whatever the outcome, the row names a snapshot that exists.
+                // Whatever the outcome, the row names a snapshot that exists. A daemon that stored
+                // another one meanwhile wins.
                 self->context.platform.commit(
-                    {.checks = {{snapshotKey, self->snapshot.rowVersion}},
+                    {.checks = {{snapshotKey, rowVersion}},
                      .puts = {{snapshotKey, std::to_string(version)}}},
                     [self](const Result<CommitVersions> &) { self->storingSnapshot = false; });
             });
--- a/packages/daemon/settingsservice_test.cpp
+++ b/packages/daemon/settingsservice_test.cpp
@@ -41,6 +41,20 @@
                 inner.commit(transaction, std::move(callback));
             }
         };
+        result.putObject = [this](const std::string &name, std::string content,
+                                  DoneCallback callback) {
+            if (!holdingObject.exchange(false)) {
+                inner.putObject(name, std::move(content), std::move(callback));
+                return;
+            }
+            inner.putObject(name, std::move(content),
+                            [this, callback = std::move(callback)](const Result<void> &stored) {
+                                held = [callback, stored] {
+                                    callback(stored);
+                                };
+                                holds = true;
+                            });
+        };
         result.read = [this](const RowQuery &query, ReadCallback callback) {
             ++reads;
             if (down) {
@@ -81,6 +95,8 @@
     std::atomic<bool> down{false};
     /// Whether the answer to the next read is held until release().
     std::atomic<bool> holding{false};
+    /// Whether the answer to the next store of an object is held until release().
+    std::atomic<bool> holdingObject{false};
     /// Whether an answer is held.
     std::atomic<bool> holds{false};
     std::function<void()> held;
@@ -552,6 +568,33 @@
     CHECK(*c.service->current() == *a.service->current());
 }
 
+// Guards against a slow store of a snapshot replacing the row of a newer one.
+TEST_CASE("the row of a snapshot does not go back")
+{
+    Fixture fixture;
+    Daemon &a = fixture.add();
+    fixture.platform.holdingObject = true;
+    constexpr int count = 256;
+    for (int n = 0; n < count; ++n) {
+        const std::string text = std::to_string(n);
+        REQUIRE(a.put(drain, std::to_string(1 + n), text, "r" + text).get().status == 200);
+    }
+    waitUntil([&] { return fixture.platform.holds.load(); });
+    std::promise<void> written;
+    fixture.platform.inner.commit(
+        {.puts = {{"settings/snapshot", "300"}}},
+        [&written](const Result<CommitVersions> &) { written.set_value(); });
+    written.get_future().get();
+    const int reads = fixture.platform.reads;
+    waitUntil([&] { return fixture.platform.reads > reads + 2; });
+    const int commits = fixture.platform.commits;
+    fixture.platform.release();
+    waitUntil([&] { return fixture.platform.commits > commits; });
+    // The commit has been carried out by the time this has run.
+    fixture.onControl([] { return true; });
+    CHECK(fixture.platform.rows("settings/snapshot")[0].value == "300");
+}
+
 TEST_CASE("changes are announced with the tree in force")
 {
     Fixture fixture;
