Read the progress with the jobs when the history of changes is lost

The tasks of a completed job could start a second time under the same holder.

Cause: when the store has dropped the history of changes, the holder reads all job rows again. It took each job that it does not hold in memory for a new one without progress. A job that it has forgotten some time after its end still has its row while the removal is on its way, and for as long as the store refuses it.

Evidence: the new case of fleet_test lets the store refuse the removal, and drops the history once.

Change: the rows are joined with the stored progress, as at a takeover, so the job is known to have ended, and its removal is tried again. A case about the next holder shares the steps; what it checks is unchanged.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -72,6 +72,8 @@
     std::set<std::string> storedProgress;
     /// Whether the store refuses to remove jobs.
     bool keepsJobRows = false;
+    /// Whether the next read of changes finds that the history was dropped.
+    bool losesHistory = false;
     Duration hostRetry = milliseconds(20);
     Duration keepEnded = std::chrono::seconds(150);
 
@@ -91,6 +93,17 @@
         platform.partOf = [](const std::string &key) {
             return key.substr(0, key.find('/'));
         };
+        platform.changes = [this, changes = platform.changes](const std::string &table,
+                                                              std::uint64_t after, Duration wait,
+                                                              ChangesCallback callback) {
+            if (std::exchange(losesHistory, false)) {
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::HistoryLost, "the history was dropped"));
+                });
+                return;
+            }
+            changes(table, after, wait, std::move(callback));
+        };
         platform.commit = [this, commit = platform.commit](const Transaction &transaction,
                                                            CommitCallback callback) {
             const bool removesJobs =
@@ -265,6 +278,21 @@
         });
     }
 
+    /// Runs a job that the holder then forgets, while the store keeps its rows.
+    /// Precondition: the holder forgets ended jobs soon.
+    void removeInPart(const std::string &id, FleetHolder &holder)
+    {
+        onLoop(loop, [this] { return keepsJobRows = true; });
+        submit(oneTask(id));
+        REQUIRE(runs(id));
+        onLoop(loop, [&] {
+            hosts.end("h0", taskOf(id), RunEnd::Done);
+            return true;
+        });
+        REQUIRE(eventually(loop, [&] { return holder.dispatcher().fleet.jobs.empty(); }));
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+
     std::size_t startsOf(const std::string &id)
     {
         return onLoop(loop, [this, &id] {
@@ -793,16 +821,7 @@
 {
     Cluster cluster(1);
     cluster.keepEnded = milliseconds(50);
-    cluster.keepsJobRows = true;
-    FleetHolder &holder = cluster.hold(1);
-    cluster.submit(oneTask("j"));
-    REQUIRE(cluster.runs("j"));
-    onLoop(cluster.loop, [&] {
-        cluster.hosts.end("h0", taskOf("j"), RunEnd::Done);
-        return true;
-    });
-    REQUIRE(eventually(cluster.loop, [&] { return holder.dispatcher().fleet.jobs.empty(); }));
-    std::this_thread::sleep_for(milliseconds(50));
+    cluster.removeInPart("j", cluster.hold(1));
     onLoop(cluster.loop, [&] {
         cluster.mayAct[1] = false;
         return true;
@@ -813,3 +832,18 @@
     std::this_thread::sleep_for(milliseconds(200));
     CHECK(cluster.startsOf("j") == 1);
 }
+
+// Guards against an ended job that runs again under the same holder: the store kept the job's row,
+// and the holder reads all rows because the history of changes was dropped.
+TEST_CASE("a job that is removed in part does not run again when history is lost")
+{
+    Cluster cluster(1);
+    cluster.keepEnded = milliseconds(50);
+    cluster.removeInPart("j", cluster.hold(1));
+    onLoop(cluster.loop, [&] { return cluster.losesHistory = true; });
+    REQUIRE(eventually(cluster.loop, [&] { return !cluster.losesHistory; }));
+    cluster.submit(oneTask("next"));
+    REQUIRE(cluster.runs("next"));
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(cluster.startsOf("j") == 1);
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -83,8 +83,13 @@
         dispatcher.fleet.runBase = (options.epoch - 1) * runsPerEpoch;
     }
 
+    using TablesCallback =
+        std::function<void(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress)>;
+
+    void readTables(TablesCallback done);
     void readState();
     void onTables(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress);
+    void addStoredJobs(const RowSnapshot &jobs, const RowSnapshot &progress, TimePoint now);
     void listHosts();
     void onHosts(const Result<std::vector<HostRecord>> &hosts);
     void takeHost(const HostRecord &record);
@@ -165,15 +170,22 @@
             .timeout = options.hostTimeout};
 }
 
-void FleetHolder::Impl::readState()
+void FleetHolder::Impl::readTables(TablesCallback done)
 {
-    env.platform.readTable(jobTable, guarded([this](const Result<RowSnapshot> &jobs) {
-                               env.platform.readTable(
-                                   progressTable,
-                                   guarded([this, jobs](const Result<RowSnapshot> &progress) {
-                                       onTables(jobs, progress);
+    env.platform.readTable(
+        jobTable, guarded([this, done = std::move(done)](const Result<RowSnapshot> &jobs) {
+            env.platform.readTable(progressTable,
+                                   guarded([jobs, done](const Result<RowSnapshot> &progress) {
+                                       done(jobs, progress);
                                    }));
-                           }));
+        }));
+}
+
+void FleetHolder::Impl::readState()
+{
+    readTables([this](const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress) {
+        onTables(jobs, progress);
+    });
 }
 
 void FleetHolder::Impl::onTables(const Result<RowSnapshot> &jobs,
@@ -184,19 +196,7 @@
         return;
     }
     const TimePoint now = bootNow();
-    std::vector<Error> ignored;
-    for (StoredJob &job : joinJobRows(jobs->rows, progress->rows, ignored)) {
-        const JobId id = job.spec.id;
-        addJob(dispatcher, std::move(job.spec), std::move(job.progress), job.progressVersion,
-               options.epoch > 1, now);
-        if (job.cancelled) {
-            cancelJob(dispatcher, id, now);
-        }
-    }
-    for (const Error &error : ignored) {
-        logEvent(EventId::RowIgnored, {{"row", error.where}, {"reason", error.message}});
-    }
-    jobsVersion = jobs->version;
+    addStoredJobs(*jobs, *progress, now);
     loaded = true;
     for (JobSpec &job : early) {
         JobProgress empty = emptyProgress(job);
@@ -215,6 +215,25 @@
     afterEvent();
 }
 
+/// Adds the jobs that are not known yet; the feed of jobs goes on from these rows.
+void FleetHolder::Impl::addStoredJobs(const RowSnapshot &jobs, const RowSnapshot &progress,
+                                      TimePoint now)
+{
+    std::vector<Error> ignored;
+    for (StoredJob &job : joinJobRows(jobs.rows, progress.rows, ignored)) {
+        const JobId id = job.spec.id;
+        addJob(dispatcher, std::move(job.spec), std::move(job.progress), job.progressVersion,
+               options.epoch > 1 && !accounted, now);
+        if (job.cancelled) {
+            cancelJob(dispatcher, id, now);
+        }
+    }
+    for (const Error &error : ignored) {
+        logEvent(EventId::RowIgnored, {{"row", error.where}, {"reason", error.message}});
+    }
+    jobsVersion = std::max(jobsVersion, jobs.version);
+}
+
 void FleetHolder::Impl::listHosts()
 {
     env.platform.listHosts(
@@ -699,16 +718,13 @@
     if (changes.error().code != ResultCode::HistoryLost) {
         return;
     }
-    env.platform.readTable(jobTable, guarded([this](const Result<RowSnapshot> &snapshot) {
-                               if (!snapshot) {
-                                   return;
-                               }
-                               for (const Row &row : snapshot->rows) {
-                                   takeJobRow(row.key, row.value);
-                               }
-                               jobsVersion = std::max(jobsVersion, snapshot->version);
-                               afterEvent();
-                           }));
+    // Among the rows may be jobs that have ended and that this holder has forgotten.
+    readTables([this](const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress) {
+        if (jobs && progress) {
+            addStoredJobs(*jobs, *progress, bootNow());
+            afterEvent();
+        }
+    });
 }
 
 void FleetHolder::Impl::takeJobRow(const std::string &key, const std::string &value)
