Repeat failed reads of changed jobs after 0.2 s

Callers saw: while a read of the store fails, a job that another daemon stored begins up to a second later than necessary, and tasks of a cancelled job go on starting for that long. With a lost history it took a second more for each failed read of the table. Nothing was logged.

Cause: the holder read the changes once in readJobsEvery (1 s), whatever the outcome. The answer HistoryLost led to a read of the whole table, whose failure was dropped; the next attempt followed a period later, and if the table took longer than the period, further reads of it began beside the first.

Fix: one read is on its way at a time, and the next one is scheduled by its outcome: a period after a success, readRetry (0.2 s) after a failure, for the changes as for the table. The first failure is logged as 4001, the next success as 4002.

Evidence: "a failed read of changed jobs is repeated soon" in fleet_test.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -72,8 +72,13 @@
     std::set<std::string> storedProgress;
     /// Whether the store refuses to remove jobs.
     bool keepsJobRows = false;
-    /// Whether the next read of changes finds that the history was dropped.
-    bool losesHistory = false;
+    /// Number of next reads of changed jobs that the store refuses.
+    int refusedChanges = 0;
+    /// Number of next reads of all jobs that the store refuses.
+    int refusedJobTables = 0;
+    /// Whether the store has forgotten its history.
+    bool historyLost = false;
+    Duration readJobsEvery = milliseconds(50);
     Duration hostRetry = milliseconds(20);
     Duration keepEnded = std::chrono::seconds(150);
 
@@ -96,14 +101,28 @@
         platform.changes = [this, changes = platform.changes](const std::string &table,
                                                               std::uint64_t after, Duration wait,
                                                               ChangesCallback callback) {
-            if (std::exchange(losesHistory, false)) {
-                loop.post([callback = std::move(callback)] {
-                    callback(failure(ResultCode::HistoryLost, "the history was dropped"));
+            if (refusedChanges > 0 || historyLost) {
+                const ResultCode code =
+                    refusedChanges > 0 ? ResultCode::PlatformUnavailable : ResultCode::HistoryLost;
+                refusedChanges = std::max(refusedChanges - 1, 0);
+                loop.post([code, callback = std::move(callback)] {
+                    callback(failure(code, "the feed has no answer"));
                 });
                 return;
             }
             changes(table, after, wait, std::move(callback));
         };
+        platform.readTable = [this, readTable = platform.readTable](const std::string &table,
+                                                                    SnapshotCallback callback) {
+            if (table == jobTable && refusedJobTables > 0) {
+                --refusedJobTables;
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::PlatformUnavailable, "status 503"));
+                });
+                return;
+            }
+            readTable(table, std::move(callback));
+        };
         platform.commit = [this, commit = platform.commit](const Transaction &transaction,
                                                            CommitCallback callback) {
             const bool removesJobs =
@@ -166,7 +185,7 @@
                                    .hostRetry = hostRetry,
                                    .flushDelay = milliseconds(10),
                                    .listHostsEvery = milliseconds(50),
-                                   .readJobsEvery = milliseconds(50),
+                                   .readJobsEvery = readJobsEvery,
                                    .tickEvery = milliseconds(10),
                                    .keepEnded = keepEnded});
             holders[epoch] = holder;
@@ -190,6 +209,17 @@
         REQUIRE(stored.get_future().get());
     }
 
+    /// Stores a cancellation as a front does that cannot reach the holder.
+    void storeCancellation(const std::string &id)
+    {
+        std::promise<bool> stored;
+        platform.commit({.puts = {{cancelRowKey({id}), id}}},
+                        [&stored](const Result<CommitVersions> &result) {
+                            stored.set_value(result.has_value());
+                        });
+        REQUIRE(stored.get_future().get());
+    }
+
     /// Submits a job of two tasks, and waits until both run on h0.
     JobSpec runTwoTasks(const std::string &id)
     {
@@ -454,11 +484,7 @@
     cluster.hold(1);
     cluster.submit(oneTask("j"));
     REQUIRE(cluster.runs("j"));
-    std::promise<bool> stored;
-    cluster.platform.commit(
-        {.puts = {{cancelRowKey({"j"}), "j"}}},
-        [&stored](const Result<CommitVersions> &result) { stored.set_value(result.has_value()); });
-    REQUIRE(stored.get_future().get());
+    cluster.storeCancellation("j");
     CHECK(eventually(cluster.loop, [&] { return cluster.hosts.activeRuns(taskOf("j")) == 0; }));
 }
 
@@ -840,10 +866,43 @@
     Cluster cluster(1);
     cluster.keepEnded = milliseconds(50);
     cluster.removeInPart("j", cluster.hold(1));
-    onLoop(cluster.loop, [&] { return cluster.losesHistory = true; });
-    REQUIRE(eventually(cluster.loop, [&] { return !cluster.losesHistory; }));
+    onLoop(cluster.loop, [&] { return cluster.historyLost = true; });
+    std::this_thread::sleep_for(2 * cluster.readJobsEvery);
+    onLoop(cluster.loop, [&] { return std::exchange(cluster.historyLost, false); });
     cluster.submit(oneTask("next"));
     REQUIRE(cluster.runs("next"));
     std::this_thread::sleep_for(milliseconds(200));
     CHECK(cluster.startsOf("j") == 1);
 }
+
+// Guards against cancellations that wait a whole period, or for ever, after a failed read.
+TEST_CASE("a failed read of changed jobs is repeated soon")
+{
+    Cluster cluster(1);
+    cluster.readJobsEvery = std::chrono::seconds(2);
+    FleetHolder &holder = cluster.hold(1);
+    REQUIRE(eventually(cluster.loop, [&] { return holder.pending("q").has_value(); }));
+    cluster.submit(oneTask("j"));
+    onLoop(cluster.loop, [&] {
+        holder.addStored(oneTask("j"));
+        return true;
+    });
+    REQUIRE(cluster.runs("j"));
+    bool historyLost = false;
+    SUBCASE("the changes are refused")
+    {
+    }
+    SUBCASE("the history is lost, and the jobs are refused")
+    {
+        historyLost = true;
+    }
+    onLoop(cluster.loop, [&] {
+        cluster.historyLost = historyLost;
+        (historyLost ? cluster.refusedJobTables : cluster.refusedChanges) = 1;
+        return true;
+    });
+    cluster.storeCancellation("j");
+    const TimePoint storedAt = bootNow();
+    CHECK(eventually(cluster.loop, [&] { return cluster.hosts.activeRuns(taskOf("j")) == 0; }));
+    CHECK(bootNow() - storedAt < cluster.readJobsEvery + milliseconds(1000));
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -119,7 +119,11 @@
     void readModel();
     void storeModel();
     void readNewJobs();
+    void readNewJobsAfter(Duration delay);
     void onJobChanges(const Result<RowChanges> &changes);
+    void onJobTables(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress);
+    void onNewJobsRead(std::uint64_t version);
+    void onNewJobsUnread(const Error &error);
     void takeJobRow(const std::string &key, const std::string &value);
     void cleanUp(TimePoint now);
     void removeJobs(const std::vector<JobId> &jobs, const std::shared_ptr<Removal> &removal);
@@ -141,6 +145,8 @@
     /// First arrival of jobs that were offered and are not stored.
     std::map<JobId, TimePoint> askedAt;
     std::uint64_t jobsVersion = 0;
+    /// Whether the last read of changed jobs failed.
+    bool newJobsUnread = false;
     bool loaded = false;
     bool accounted = false;
     bool planScheduled = false;
@@ -206,7 +212,7 @@
     logEvent(EventId::ShardRecovered, {{"epoch", std::to_string(options.epoch)},
                                        {"jobs", std::to_string(dispatcher.fleet.jobs.size())},
                                        {"live", std::to_string(dispatcher.fleet.live.size())}});
-    env.loop.postAfter(options.readJobsEvery, guarded([this] { readNewJobs(); }));
+    readNewJobsAfter(options.readJobsEvery);
     for (auto &[id, link] : links) {
         if (link.clock && !link.renewing) {
             renew(link, milliseconds(0), now);
@@ -697,34 +703,64 @@
 void FleetHolder::Impl::readNewJobs()
 {
     env.platform.changes(
-        jobTable, jobsVersion, Duration(0), guarded([this](const Result<RowChanges> &changes) {
-            onJobChanges(changes);
-            env.loop.postAfter(options.readJobsEvery, guarded([this] { readNewJobs(); }));
-        }));
+        jobTable, jobsVersion, Duration(0),
+        guarded([this](const Result<RowChanges> &changes) { onJobChanges(changes); }));
+}
+
+void FleetHolder::Impl::readNewJobsAfter(Duration delay)
+{
+    env.loop.postAfter(delay, guarded([this] { readNewJobs(); }));
 }
 
 void FleetHolder::Impl::onJobChanges(const Result<RowChanges> &changes)
 {
-    if (changes) {
-        for (const RowChange &change : changes->rows) {
-            if (!change.deleted) {
-                takeJobRow(change.key, change.value);
-            }
-        }
-        jobsVersion = std::max(jobsVersion, changes->version);
-        afterEvent();
+    if (!changes && changes.error().code == ResultCode::HistoryLost) {
+        // Among the rows may be jobs that have ended and that this holder has forgotten.
+        readTables([this](const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress) {
+            onJobTables(jobs, progress);
+        });
         return;
     }
-    if (changes.error().code != ResultCode::HistoryLost) {
+    if (!changes) {
+        onNewJobsUnread(changes.error());
         return;
     }
-    // Among the rows may be jobs that have ended and that this holder has forgotten.
-    readTables([this](const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress) {
-        if (jobs && progress) {
-            addStoredJobs(*jobs, *progress, bootNow());
-            afterEvent();
+    for (const RowChange &change : changes->rows) {
+        if (!change.deleted) {
+            takeJobRow(change.key, change.value);
         }
-    });
+    }
+    onNewJobsRead(changes->version);
+}
+
+void FleetHolder::Impl::onJobTables(const Result<RowSnapshot> &jobs,
+                                    const Result<RowSnapshot> &progress)
+{
+    if (!jobs || !progress) {
+        onNewJobsUnread(jobs ? progress.error() : jobs.error());
+        return;
+    }
+    addStoredJobs(*jobs, *progress, bootNow());
+    onNewJobsRead(jobs->version);
+}
+
+void FleetHolder::Impl::onNewJobsRead(std::uint64_t version)
+{
+    jobsVersion = std::max(jobsVersion, version);
+    if (std::exchange(newJobsUnread, false)) {
+        logEvent(EventId::PlatformReachable, {{"reason", "new jobs and cancellations are read"}});
+    }
+    readNewJobsAfter(options.readJobsEvery);
+    afterEvent();
+}
+
+void FleetHolder::Impl::onNewJobsUnread(const Error &error)
+{
+    if (!std::exchange(newJobsUnread, true)) {
+        logEvent(EventId::PlatformUnreachable,
+                 {{"reason", "new jobs and cancellations are not read: " + error.message}});
+    }
+    readNewJobsAfter(readRetry);
 }
 
 void FleetHolder::Impl::takeJobRow(const std::string &key, const std::string &value)
