Read stored cancellations before a takeover ends

Between two holders a daemon stores the cancellation and acknowledges it.

Cause: the new holder reads all jobs at the start of its recovery and their changes a second later for the first time. The recovery ends when all hosts are accounted for, without regard to that read, so the waiting tasks of jobs that were cancelled in between were started.

Fix: the recovery ends when all hosts are accounted for and a read of the changes that was sent after that moment has succeeded, so that every cancellation stored before the first start of an inherited task is known. The read is sent at once and does not wait for the period. If the history is lost the whole table takes its place.

Evidence, all in fleet_test: "a cancellation that is stored during a takeover is taken in before tasks start" (by the changes; by the jobs after a lost history) and "a takeover waits for changes while the holder may not act" failed before and pass with the fix; the latter fails as well if the wait does not begin anew. "a takeover does not wait for changes that cannot be read" guards the limit: it passed before, and fails with the limit taken out.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <doctest/doctest.h>
 #include <future>
+#include <limits>
 #include <optional>
 #include <thread>
 
@@ -19,6 +20,8 @@
 
 constexpr milliseconds lease{400};
 constexpr Duration patience = std::chrono::seconds(10);
+/// Time that a host takes for its first answer in takeOver().
+constexpr Duration takeoverAnswer = milliseconds(300);
 
 /// Runs @p function on the loop's thread and returns its result.
 template<typename Function>
@@ -79,6 +82,7 @@
     /// Whether the store has forgotten its history.
     bool historyLost = false;
     Duration readJobsEvery = milliseconds(50);
+    Duration catchUpTimeout = patience;
     Duration hostRetry = milliseconds(20);
     Duration keepEnded = std::chrono::seconds(150);
 
@@ -186,6 +190,7 @@
                                    .flushDelay = milliseconds(10),
                                    .listHostsEvery = milliseconds(50),
                                    .readJobsEvery = readJobsEvery,
+                                   .catchUpTimeout = catchUpTimeout,
                                    .tickEvery = milliseconds(10),
                                    .keepEnded = keepEnded});
             holders[epoch] = holder;
@@ -220,6 +225,34 @@
         REQUIRE(stored.get_future().get());
     }
 
+    template<typename Function>
+    void change(Function function)
+    {
+        onLoop(loop, [function] {
+            function();
+            return true;
+        });
+    }
+
+    /// Starts a second holder after the first one has stopped. It has read the job @p id and waits
+    /// for the answer of h0, on which another task runs.
+    FleetHolder &takeOver(const std::string &id)
+    {
+        hold(1);
+        submit(oneTask("first"));
+        REQUIRE(runs("first"));
+        change([this] {
+            mayAct[1] = false;
+            hosts.host("h0").answerDelay = takeoverAnswer;
+        });
+        submit(oneTask(id));
+        readJobsEvery = patience;
+        FleetHolder &holder = hold(2);
+        REQUIRE(eventually(loop, [&] { return holder.dispatcher().fleet.jobs.contains({id}); }));
+        REQUIRE(startsOf(id) == 0);
+        return holder;
+    }
+
     /// Submits a job of two tasks, and waits until both run on h0.
     JobSpec runTwoTasks(const std::string &id)
     {
@@ -875,6 +908,59 @@
     CHECK(cluster.startsOf("j") == 1);
 }
 
+// Guards against tasks of cancelled jobs that start after a takeover: a front stored the
+// cancellation when the new holder had read the jobs.
+TEST_CASE("a cancellation that is stored during a takeover is taken in before tasks start")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.takeOver("j");
+    std::this_thread::sleep_for(takeoverAnswer / 3);
+    bool historyLost = false;
+    SUBCASE("by the changes")
+    {
+    }
+    SUBCASE("by the jobs if the changes are forgotten")
+    {
+        historyLost = true;
+    }
+    cluster.change([&] { cluster.historyLost = historyLost; });
+    cluster.storeCancellation("j");
+    std::this_thread::sleep_for(2 * takeoverAnswer);
+    CHECK(cluster.startsOf("j") == 0);
+    CHECK(cluster.stateOf(holder, "j") == JobState::Cancelled);
+}
+
+// Guards against a shard that stands still after a takeover because the changes cannot be read.
+TEST_CASE("a takeover does not wait for changes that cannot be read")
+{
+    Cluster cluster(1);
+    cluster.catchUpTimeout = milliseconds(300);
+    cluster.takeOver("j");
+    cluster.change([&] { cluster.refusedChanges = std::numeric_limits<int>::max(); });
+    CHECK(cluster.runs("j"));
+}
+
+// Guards against tasks of cancelled jobs that start after a takeover during which the store was
+// away for the holder.
+TEST_CASE("a takeover waits for changes while the holder may not act")
+{
+    Cluster cluster(1);
+    cluster.catchUpTimeout = milliseconds(600);
+    FleetHolder &holder = cluster.takeOver("j");
+    cluster.change([&] { cluster.refusedChanges = std::numeric_limits<int>::max(); });
+    std::this_thread::sleep_for(takeoverAnswer + cluster.catchUpTimeout / 4);
+    cluster.change([&] { cluster.mayAct[2] = false; });
+    cluster.storeCancellation("j");
+    std::this_thread::sleep_for(2 * cluster.catchUpTimeout);
+    cluster.change([&] {
+        cluster.mayAct[2] = true;
+        cluster.refusedChanges = 0;
+    });
+    std::this_thread::sleep_for(cluster.catchUpTimeout);
+    CHECK(cluster.startsOf("j") == 0);
+    CHECK(cluster.stateOf(holder, "j") == JobState::Cancelled);
+}
+
 // Guards against cancellations that wait a whole period, or for ever, after a failed read.
 TEST_CASE("a failed read of changed jobs is repeated soon")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace acaciadeal {
@@ -97,6 +98,7 @@
     bool isListed(const HostId &id) const;
     void openLinks();
     void tryAccount(TimePoint now);
+    bool hasCaughtUp(TimePoint moment, TimePoint now);
 
     void renew(HostLink &link, milliseconds wait, TimePoint now);
     void onReport(const HostId &id, std::uint64_t sequence, std::uint64_t token, TimePoint sentAt,
@@ -120,9 +122,10 @@
     void storeModel();
     void readNewJobs();
     void readNewJobsAfter(Duration delay);
-    void onJobChanges(const Result<RowChanges> &changes);
-    void onJobTables(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress);
-    void onNewJobsRead(std::uint64_t version);
+    void onJobChanges(const Result<RowChanges> &changes, TimePoint sentAt);
+    void onJobTables(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress,
+                     TimePoint sentAt);
+    void onNewJobsRead(std::uint64_t version, TimePoint sentAt);
     void onNewJobsUnread(const Error &error);
     void takeJobRow(const std::string &key, const std::string &value);
     void cleanUp(TimePoint now);
@@ -145,8 +148,15 @@
     /// First arrival of jobs that were offered and are not stored.
     std::map<JobId, TimePoint> askedAt;
     std::uint64_t jobsVersion = 0;
+    /// When the last successful read of changed jobs was sent: what was stored before is known.
+    TimePoint newJobsReadAt;
+    bool readingNewJobs = false;
     /// Whether the last read of changed jobs failed.
     bool newJobsUnread = false;
+    /// Only the newest timer of the next read counts.
+    std::uint64_t newJobsTimer = 0;
+    /// During recovery: since when what runs on all hosts is known; unset while it is not.
+    std::optional<TimePoint> allKnownAt;
     bool loaded = false;
     bool accounted = false;
     bool planScheduled = false;
@@ -353,7 +363,12 @@
             return link == links.end() || (host != nullptr && host->reported)
                    || (link->second.failures > 0 && now >= link->second.leaseEnd);
         });
-    if (options.epoch > 1 && !allKnown) {
+    if (!allKnown) {
+        allKnownAt.reset();
+    } else if (!allKnownAt) {
+        allKnownAt = now;
+    }
+    if (options.epoch > 1 && !(allKnownAt && hasCaughtUp(*allKnownAt, now))) {
         return;
     }
     accounted = true;
@@ -361,6 +376,24 @@
     planSoon();
 }
 
+/// Returns whether cancellations that were stored before @p moment are taken in, and otherwise
+/// makes sure that they are read.
+bool FleetHolder::Impl::hasCaughtUp(TimePoint moment, TimePoint now)
+{
+    if (newJobsReadAt >= moment) {
+        return true;
+    }
+    if (now - moment >= options.catchUpTimeout) {
+        logEvent(EventId::PlatformUnreachable,
+                 {{"reason", "tasks start without the newest cancellations"}});
+        return true;
+    }
+    if (!readingNewJobs && !newJobsUnread) {
+        readNewJobs();
+    }
+    return false;
+}
+
 void FleetHolder::Impl::renew(HostLink &link, milliseconds wait, TimePoint now)
 {
     if (!env.mayAct() || finishing) {
@@ -702,23 +735,32 @@
 
 void FleetHolder::Impl::readNewJobs()
 {
-    env.platform.changes(
-        jobTable, jobsVersion, Duration(0),
-        guarded([this](const Result<RowChanges> &changes) { onJobChanges(changes); }));
+    readingNewJobs = true;
+    ++newJobsTimer;
+    env.platform.changes(jobTable, jobsVersion, Duration(0),
+                         guarded([this, sentAt = bootNow()](const Result<RowChanges> &changes) {
+                             onJobChanges(changes, sentAt);
+                         }));
 }
 
 void FleetHolder::Impl::readNewJobsAfter(Duration delay)
 {
-    env.loop.postAfter(delay, guarded([this] { readNewJobs(); }));
+    readingNewJobs = false;
+    env.loop.postAfter(delay, guarded([this, timer = ++newJobsTimer] {
+                           if (timer == newJobsTimer) {
+                               readNewJobs();
+                           }
+                       }));
 }
 
-void FleetHolder::Impl::onJobChanges(const Result<RowChanges> &changes)
+void FleetHolder::Impl::onJobChanges(const Result<RowChanges> &changes, TimePoint sentAt)
 {
     if (!changes && changes.error().code == ResultCode::HistoryLost) {
         // Among the rows may be jobs that have ended and that this holder has forgotten.
-        readTables([this](const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress) {
-            onJobTables(jobs, progress);
-        });
+        readTables(
+            [this, sentAt](const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress) {
+                onJobTables(jobs, progress, sentAt);
+            });
         return;
     }
     if (!changes) {
@@ -730,23 +772,24 @@
             takeJobRow(change.key, change.value);
         }
     }
-    onNewJobsRead(changes->version);
+    onNewJobsRead(changes->version, sentAt);
 }
 
 void FleetHolder::Impl::onJobTables(const Result<RowSnapshot> &jobs,
-                                    const Result<RowSnapshot> &progress)
+                                    const Result<RowSnapshot> &progress, TimePoint sentAt)
 {
     if (!jobs || !progress) {
         onNewJobsUnread(jobs ? progress.error() : jobs.error());
         return;
     }
     addStoredJobs(*jobs, *progress, bootNow());
-    onNewJobsRead(jobs->version);
+    onNewJobsRead(jobs->version, sentAt);
 }
 
-void FleetHolder::Impl::onNewJobsRead(std::uint64_t version)
+void FleetHolder::Impl::onNewJobsRead(std::uint64_t version, TimePoint sentAt)
 {
     jobsVersion = std::max(jobsVersion, version);
+    newJobsReadAt = sentAt;
     if (std::exchange(newJobsUnread, false)) {
         logEvent(EventId::PlatformReachable, {{"reason", "new jobs and cancellations are read"}});
     }
@@ -756,6 +799,10 @@
 
 void FleetHolder::Impl::onNewJobsUnread(const Error &error)
 {
+    if (!env.mayAct()) {
+        // The wait before the end of the recovery begins anew when the shard is held again.
+        allKnownAt.reset();
+    }
     if (!std::exchange(newJobsUnread, true)) {
         logEvent(EventId::PlatformUnreachable,
                  {{"reason", "new jobs and cancellations are not read: " + error.message}});
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -47,6 +47,9 @@
     Duration planDelay = milliseconds(5);
     Duration listHostsEvery = milliseconds(600);
     Duration readJobsEvery = milliseconds(1000);
+    /// Longest time for which a new holder that knows all hosts waits for the jobs' changes, which
+    /// may hold cancellations.
+    Duration catchUpTimeout = std::chrono::seconds(2);
     /// Housekeeping of leases, delays and repeated orders.
     Duration tickEvery = milliseconds(100);
     Duration statusEvery = std::chrono::seconds(2);
