Read the progress of jobs before the jobs themselves

The tasks of a job that ended long ago could start again after a takeover.

Cause: a new holder read the rows of the jobs and then their progress. An earlier holder removes a job's row before its progress, and a removal that is on its way when it loses the shard may take effect between the reads. The job's row was then read without its progress, as that of a new job.

Evidence: the new case of fleet_test removes both rows of a completed job after the first read of the next holder.

Change: the progress is read first. A job whose row is read afterwards still had its progress at the first read. Progress that an earlier holder stores between the reads is merged at the next write, as any late write is.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -83,6 +83,8 @@
     bool historyLost = false;
     Duration readJobsEvery = milliseconds(50);
     Duration catchUpTimeout = patience;
+    /// Job whose rows are removed once the next read of a table has been carried out.
+    JobId removedBetweenReads;
     Duration hostRetry = milliseconds(20);
     Duration keepEnded = std::chrono::seconds(150);
 
@@ -102,6 +104,16 @@
         platform.partOf = [](const std::string &key) {
             return key.substr(0, key.find('/'));
         };
+        platform.readTable = [this, readTable = platform.readTable](const std::string &table,
+                                                                    SnapshotCallback callback) {
+            readTable(table, std::move(callback));
+            if (const JobId id = removedBetweenReads;
+                (table == jobTable || table == progressTable) && !id.empty()) {
+                removedBetweenReads = {};
+                platform.commit({.deletes = {jobRowKey(id), progressRowKey(id)}},
+                                [](const Result<CommitVersions> &) {});
+            }
+        };
         platform.changes = [this, changes = platform.changes](const std::string &table,
                                                               std::uint64_t after, Duration wait,
                                                               ChangesCallback callback) {
@@ -992,3 +1004,32 @@
     CHECK(eventually(cluster.loop, [&] { return cluster.hosts.activeRuns(taskOf("j")) == 0; }));
     CHECK(bootNow() - storedAt < cluster.readJobsEvery + milliseconds(1000));
 }
+
+// Guards against an ended job that runs again after a takeover: the earlier holder removed its rows
+// while they were read.
+TEST_CASE("a job that is removed during a takeover does not run again")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.hold(1);
+    cluster.submit(oneTask("j"));
+    REQUIRE(cluster.runs("j"));
+    onLoop(cluster.loop, [&] {
+        cluster.hosts.end("h0", taskOf("j"), RunEnd::Done);
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        return stateOf(*findJob(holder.dispatcher().fleet, {"j"})) == JobState::Completed;
+    }));
+    REQUIRE(cluster.stateOf(holder, "j") == JobState::Completed);
+    onLoop(cluster.loop, [&] {
+        cluster.mayAct[1] = false;
+        cluster.removedBetweenReads = {"j"};
+        return true;
+    });
+    cluster.hold(2);
+    cluster.submit(oneTask("next"));
+    REQUIRE(cluster.runs("next"));
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(cluster.removedBetweenReads.empty());
+    CHECK(cluster.startsOf("j") == 1);
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -186,12 +186,14 @@
             .timeout = options.hostTimeout};
 }
 
+/// Reads the progress first. It is removed last, so a job whose row is read afterwards is not taken
+/// for a new one because its progress was removed between the reads.
 void FleetHolder::Impl::readTables(TablesCallback done)
 {
     env.platform.readTable(
-        jobTable, guarded([this, done = std::move(done)](const Result<RowSnapshot> &jobs) {
-            env.platform.readTable(progressTable,
-                                   guarded([jobs, done](const Result<RowSnapshot> &progress) {
+        progressTable, guarded([this, done = std::move(done)](const Result<RowSnapshot> &progress) {
+            env.platform.readTable(jobTable,
+                                   guarded([progress, done](const Result<RowSnapshot> &jobs) {
                                        done(jobs, progress);
                                    }));
         }));
