Keep a run that the new life of its host lists

The trace: h3 crashed and began a new life at 40.170 s; the holder, which did not know of that yet, ordered run 600001 there at 40.295 s, and the new life carried it out. At 40.410 s the holder saw the new life and gave up all runs of the host, run 600001 too. It ordered run 600002 at h3, which refused it (409 old), and run 600003 at h1 at 40.597 s; run 600001 was stopped at 40.669 s only.

A new life proves only that runs of the former life are gone, and the holder cannot tell by its orders in which of the two a start was carried out. The higher token still keeps late orders out of the new life.

The new test begins a new life that lists one of two runs: that one must not be started again, and the other one must.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -110,7 +110,7 @@
 void takeStartOutcome(Dispatcher &dispatcher, const StartRun &order, StartOutcome outcome,
                       TimePoint now);
 
-/// Declares all runs of @p host lost: its lease has lapsed, or it began a new life.
+/// Declares all runs of @p host lost: its lease has lapsed.
 void loseRuns(Dispatcher &dispatcher, const HostId &host, const std::string &reason, TimePoint now);
 
 /// Ends the recovery: from now on, tasks that no host reported are known not to run.
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -848,6 +848,32 @@
     CHECK(cluster.startsOf("late") == 1);
 }
 
+// Guards against a second run while the first one works: the new life of a host carried out a start
+// before the holder learned of that life.
+TEST_CASE("a run that a host's new life lists is not given up")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.hold(1);
+    cluster.submit(oneTask("former"));
+    cluster.submit(oneTask("started"));
+    REQUIRE(cluster.runs("former"));
+    REQUIRE(cluster.runs("started"));
+    onLoop(cluster.loop, [&] {
+        FakeHost &host = cluster.hosts.host("h0");
+        host.bornAt = milliseconds(2);
+        host.active.erase(taskOf("former"));
+        return true;
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        return holder.dispatcher().fleet.hosts.at({"h0"}).bornAt == milliseconds(2)
+               && cluster.hosts.activeRuns(taskOf("former")) == 1;
+    }));
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(cluster.startsOf("former") == 2);
+    CHECK(cluster.startsOf("started") == 1);
+    CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.activeRuns(taskOf("started")); }) == 1);
+}
+
 // Guards against ends that pile up on a busy host: each answer that shows its life lists a further
 // end, and the acknowledgement of the durable ones waits for the write of that end.
 TEST_CASE("ends are acknowledged while further ones arrive during each write")
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -104,7 +104,7 @@
     void onReport(const HostId &id, std::uint64_t sequence, std::uint64_t token, TimePoint sentAt,
                   const Result<HostReport> &report);
     void onSilence(HostLink &link, FleetHost &host, const Error &error, TimePoint now);
-    void beginNewLife(HostLink &link, FleetHost &host, const std::string &reason, TimePoint now);
+    static void beginNewLife(HostLink &link, FleetHost &host);
     void renewNext(HostLink &link, TimePoint now);
     void onDurable();
 
@@ -456,7 +456,7 @@
     }
     const bool wasSilent = std::exchange(link.failures, 0) > 0;
     if (report->bornAt && host->bornAt && *report->bornAt != *host->bornAt) {
-        beginNewLife(link, *host, "the host began a new life", now);
+        beginNewLife(link, *host);
     }
     host->bornAt = report->bornAt;
     // The answer to a renewal without a lease is followed by one with a lease at once.
@@ -492,10 +492,9 @@
     link.nextAt = now + options.hostRetry;
 }
 
-void FleetHolder::Impl::beginNewLife(HostLink &link, FleetHost &host, const std::string &reason,
-                                     TimePoint now)
+/// Leaves the runs to the reports: the new life may have carried out a start already.
+void FleetHolder::Impl::beginNewLife(HostLink &link, FleetHost &host)
 {
-    loseRuns(dispatcher, host.id, reason, now);
     host.seenEnd = 0;
     host.durableEnd = 0;
     link.acknowledgedEnd = 0;
