--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -431,11 +431,8 @@
         return false;
     }
     if (rule == StartRule::OverdueOnly) {
-        // What ran before is missed by its users, so it does not wait for a second place.
-        const bool isRestart = task.run > 0;
         return isOverdue(now - task.since)
-               && (isRestart
-                   || hasRoomTwice(dispatcher.fleet, noRoom, job.spec.terms.service, step));
+               && hasRoomTwice(dispatcher.fleet, noRoom, job.spec.terms.service, step);
     }
     return !step.longRunning || leavesUrgentRoom(dispatcher.fleet, step);
 }
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -27,8 +27,7 @@
 void updateUrgentDemand(FleetState &fleet, TimePoint now);
 
 /// Returns whether a long-running task that has waited for @p waited has to start before everything
-/// else, as each second away counts: at any place if it has run before, otherwise only where there
-/// is room for it twice over. Thread-safe.
+/// else once the fleet has room for it twice over: each second away counts. Thread-safe.
 bool isOverdue(Duration waited);
 
 /// Returns whether a long-running task may start although others wait: it leaves the room that
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -120,7 +120,7 @@
     } else if (reason.suitableHosts == 0) {
         reason.rule = ruleFor(hosts);
     } else if (spec.longRunning && !leavesUrgentRoom(fleet, spec)
-               && !(isOverdue(reason.waited) && (task.run > 0 || reason.places >= 2))) {
+               && !(isOverdue(reason.waited) && reason.places >= 2)) {
         reason.rule = WaitRule::UrgentRoom;
     }
     return reason;
