Begin the wait of a takeover anew whenever the holder may not act

Cause: a takeover waits up to 2 s for a read of the changes, and the wait began anew only when a read failed while the holder may not act. A read without an answer fails after 3 s, so the wait could end by time in which others stored cancellations. The wait now counts only from the moment since which all hosts are known and the holder may act.

fleet_test: 'a takeover waits for changes after reads without an answer' failed before.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -79,6 +79,8 @@
     int refusedChanges = 0;
     /// Number of next reads of all jobs that the store refuses.
     int refusedJobTables = 0;
+    /// Time after which reads of changed jobs fail; unset if they do not.
+    std::optional<Duration> changesTimeout;
     /// Whether the store has forgotten its history.
     bool historyLost = false;
     Duration readJobsEvery = milliseconds(50);
@@ -117,6 +119,12 @@
         platform.changes = [this, changes = platform.changes](const std::string &table,
                                                               std::uint64_t after, Duration wait,
                                                               ChangesCallback callback) {
+            if (changesTimeout) {
+                loop.postAfter(*changesTimeout, [callback = std::move(callback)] {
+                    callback(failure(ResultCode::PlatformUnavailable, "no answer in time"));
+                });
+                return;
+            }
             if (refusedChanges > 0 || historyLost) {
                 const ResultCode code =
                     refusedChanges > 0 ? ResultCode::PlatformUnavailable : ResultCode::HistoryLost;
@@ -999,6 +1007,27 @@
     CHECK(cluster.stateOf(holder, "j") == JobState::Cancelled);
 }
 
+// Guards against the same where the store does not answer at all: its timeout is longer than the
+// wait of the takeover.
+TEST_CASE("a takeover waits for changes after reads without an answer")
+{
+    Cluster cluster(1);
+    cluster.catchUpTimeout = milliseconds(600);
+    FleetHolder &holder = cluster.takeOver("j");
+    cluster.change([&] { cluster.changesTimeout = 3 * cluster.catchUpTimeout / 2; });
+    std::this_thread::sleep_for(takeoverAnswer + cluster.catchUpTimeout / 4);
+    cluster.change([&] { cluster.mayAct[2] = false; });
+    cluster.storeCancellation("j");
+    std::this_thread::sleep_for(cluster.catchUpTimeout);
+    cluster.change([&] {
+        cluster.mayAct[2] = true;
+        cluster.changesTimeout.reset();
+    });
+    std::this_thread::sleep_for(2 * cluster.catchUpTimeout);
+    CHECK(cluster.startsOf("j") == 0);
+    CHECK(cluster.stateOf(holder, "j") == JobState::Cancelled);
+}
+
 // Guards against cancellations that wait a whole period, or for ever, after a failed read.
 TEST_CASE("a failed read of changed jobs is repeated soon")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -365,7 +365,8 @@
             return link == links.end() || (host != nullptr && host->reported)
                    || (link->second.failures > 0 && now >= link->second.leaseEnd);
         });
-    if (!allKnown) {
+    // While the holder may not act others store cancellations, so the wait begins anew.
+    if (!allKnown || !env.mayAct()) {
         allKnownAt.reset();
     } else if (!allKnownAt) {
         allKnownAt = now;
@@ -687,6 +688,7 @@
         cleanUp(now);
         afterEvent();
     }
+    tryAccount(now);
     env.loop.postAfter(options.tickEvery, guarded([this] { tick(); }));
 }
 
@@ -800,10 +802,6 @@
 
 void FleetHolder::Impl::onNewJobsUnread(const Error &error)
 {
-    if (!env.mayAct()) {
-        // The wait before the end of the recovery begins anew when the shard is held again.
-        allKnownAt.reset();
-    }
     if (!std::exchange(newJobsUnread, true)) {
         logEvent(EventId::PlatformUnreachable,
                  {{"reason", "new jobs and cancellations are not read: " + error.message}});
