--- a/packages/dispatch/avoidedhost_test.cpp
+++ b/packages/dispatch/avoidedhost_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/dispatcher.h"
+#include "dispatch/testfixtures.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -19,17 +20,6 @@
     return start + milliseconds(ms);
 }
 
-JobSpec job(const std::string &id, const StepSpec &step)
-{
-    return {.id = {id},
-            .terms = {.queue = "q",
-                      .service = {"svc"},
-                      .maxAttempts = 3,
-                      .slowdownFactor = 2,
-                      .targetLatency = milliseconds(1000)},
-            .steps = {step}};
-}
-
 StepSpec shortStep()
 {
     return {.tasks = 1,
@@ -54,20 +44,14 @@
     explicit Fleet(int hosts)
     {
         for (int n = 0; n < hosts; ++n) {
-            FleetHost host;
-            host.id = {"h" + std::to_string(n)};
-            host.service = {"svc"};
-            host.capacity = {.milliCores = 8000, .memoryMiB = 64000};
-            host.listed = true;
-            host.reported = true;
-            host.reachable = true;
-            dispatcher.fleet.hosts[host.id] = host;
+            const std::string id = "h" + std::to_string(n);
+            dispatcher.fleet.hosts[{id}] = fixtureHost(id, 8000);
         }
     }
 
     void submit(const std::string &id, const StepSpec &step, TimePoint now)
     {
-        const JobSpec spec = job(id, step);
+        const JobSpec spec = fixtureJob(id, {step});
         addJob(dispatcher, spec, emptyProgress(spec), 0, false, now);
     }
 
@@ -120,12 +104,13 @@
     }
 };
 
-/// Returns when the task of job "long" is started, by rounds every 50 ms from @p from.
-std::optional<TimePoint> startOfLong(Fleet &fleet, TimePoint from, Duration patience)
+/// Returns when a task of job @p id is started, by rounds every 50 ms from @p from.
+std::optional<TimePoint> startOf(const std::string &id, Fleet &fleet, TimePoint from,
+                                 Duration patience)
 {
     for (TimePoint now = from; now <= from + patience; now += milliseconds(50)) {
         for (const StartRun &order : fleet.planAt(now)) {
-            if (order.task.job.value == "long") {
+            if (order.task.job.value == id) {
                 return now;
             }
         }
@@ -145,7 +130,7 @@
     const HostId other = {first.value == "h0" ? "h1" : "h0"};
     fleet.failRunsOn(other, 5, at(9900));
     fleet.removeHost(first.value, at(10000));
-    const auto started = startOfLong(fleet, at(10000), std::chrono::seconds(10));
+    const auto started = startOf("long", fleet, at(10000), std::chrono::seconds(10));
     REQUIRE(started);
     CHECK(*started - at(10000) < acceptedWait);
 }
@@ -176,12 +161,7 @@
     StepSpec step = shortStep();
     step.requiredLabel = "scanner";
     fleet.submit("labelled", step, at(0));
-    std::optional<TimePoint> started;
-    for (TimePoint now = at(0); !started && now < at(10000); now += milliseconds(50)) {
-        if (!fleet.planAt(now).empty()) {
-            started = now;
-        }
-    }
+    const auto started = startOf("labelled", fleet, at(0), std::chrono::seconds(10));
     REQUIRE(started);
     CHECK(*started - at(0) < acceptedWait);
 }
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include "dispatch/placement.h"
+#include "dispatch/testfixtures.h"
 
 #include <array>
 #include <doctest/doctest.h>
@@ -27,26 +28,12 @@
 
 JobSpec job(const std::string &id, std::vector<StepSpec> steps)
 {
-    return {.id = {id},
-            .terms = {.queue = "q",
-                      .service = {"svc"},
-                      .maxAttempts = 3,
-                      .slowdownFactor = 2,
-                      .targetLatency = milliseconds(1000)},
-            .steps = std::move(steps)};
+    return fixtureJob(id, std::move(steps));
 }
 
 void addHost(Dispatcher &dispatcher, const std::string &id, std::int64_t milliCores = 8000)
 {
-    FleetHost host;
-    host.id = {id};
-    host.service = {"svc"};
-    host.failureDomain = {"a"};
-    host.capacity = {.milliCores = milliCores, .memoryMiB = 64000};
-    host.listed = true;
-    host.reported = true;
-    host.reachable = true;
-    dispatcher.fleet.hosts[{id}] = host;
+    dispatcher.fleet.hosts[{id}] = fixtureHost(id, milliCores);
 }
 
 void add(Dispatcher &dispatcher, const JobSpec &spec, TimePoint now = start)
--- a/packages/dispatch/hostprogress_test.cpp
+++ b/packages/dispatch/hostprogress_test.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/hostprogress.h"
 
+#include "dispatch/testfixtures.h"
+
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
@@ -27,13 +29,7 @@
     Replay()
     {
         for (int n = 0; n < hosts; ++n) {
-            FleetHost host;
-            host.id = {"h" + std::to_string(n)};
-            host.service = {"svc"};
-            host.capacity = {.milliCores = 16000, .memoryMiB = 64000};
-            host.listed = true;
-            host.reported = true;
-            host.reachable = true;
+            const FleetHost host = fixtureHost("h" + std::to_string(n), 16000);
             dispatcher.fleet.hosts[host.id] = host;
             slowness[host.id] = 1;
         }
--- a/packages/dispatch/roundcost_test.cpp
+++ b/packages/dispatch/roundcost_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/dispatcher.h"
+#include "dispatch/testfixtures.h"
 
 #include <algorithm>
 #include <array>
@@ -29,31 +30,14 @@
                   .longRunning = true};
     step.image = "serving";
     step.tailTarget = milliseconds(100);
-    return {.id = {id},
-            .terms = {.queue = "q",
-                      .service = {"svc"},
-                      .maxAttempts = 3,
-                      .slowdownFactor = 2,
-                      .targetLatency = milliseconds(1000)},
-            .steps = {step}};
-}
-
-FleetHost host(const HostId &id, std::int64_t milliCores)
-{
-    return {.id = id,
-            .failureDomain = {"a"},
-            .service = {"svc"},
-            .capacity = {.milliCores = milliCores, .memoryMiB = 64000},
-            .listed = true,
-            .reported = true,
-            .reachable = true};
+    return fixtureJob(id, {step});
 }
 
 void addHosts(Dispatcher &dispatcher)
 {
     for (int n = 0; n < hostCount; ++n) {
-        const HostId id{"host" + std::to_string(n)};
-        dispatcher.fleet.hosts[id] = host(id, hostMilliCores);
+        const std::string id = "host" + std::to_string(n);
+        dispatcher.fleet.hosts[{id}] = fixtureHost(id, hostMilliCores);
     }
 }
 
@@ -119,7 +103,7 @@
 {
     Dispatcher dispatcher;
     addOverdueTasks(dispatcher);
-    dispatcher.fleet.hosts[{"host490"}] = host({"host490"}, 9100);
+    dispatcher.fleet.hosts[{"host490"}] = fixtureHost("host490", 9100);
     // All that is free is kept for short tasks.
     dispatcher.fleet.urgentMilliCores = 1e9;
     dispatcher.fleet.urgentDemandAt = overdueSince;
--- a/packages/dispatch/waitorder_test.cpp
+++ b/packages/dispatch/waitorder_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/dispatcher.h"
+#include "dispatch/testfixtures.h"
 #include "dispatch/waitorder.h"
 
 #include <doctest/doctest.h>
@@ -31,13 +32,8 @@
     explicit Fleet(int hosts)
     {
         for (int n = 0; n < hosts; ++n) {
-            FleetHost &host = dispatcher.fleet.hosts[{"h" + std::to_string(n)}];
-            host.id = {"h" + std::to_string(n)};
-            host.service = {"svc"};
-            host.capacity = {.milliCores = 10000, .memoryMiB = 64000};
-            host.listed = true;
-            host.reported = true;
-            host.reachable = true;
+            const std::string id = "h" + std::to_string(n);
+            dispatcher.fleet.hosts[{id}] = fixtureHost(id, 10000);
         }
     }
 
--- a/packages/dispatch/waitreason_test.cpp
+++ b/packages/dispatch/waitreason_test.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/waitreason.h"
 
 #include "dispatch/placement.h"
+#include "dispatch/testfixtures.h"
 
 #include <doctest/doctest.h>
 
@@ -25,12 +26,7 @@
     {
         for (const char *const name : {"a", "b"}) {
             FleetHost &host = dispatcher.fleet.hosts[{name}];
-            host.id = {name};
-            host.service = {"svc"};
-            host.capacity = {.milliCores = 8000, .memoryMiB = 64000};
-            host.listed = true;
-            host.reported = true;
-            host.reachable = true;
+            host = fixtureHost(name, 8000);
             host.reportedAt = start;
         }
         const JobSpec spec = {.id = id,
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -106,16 +106,6 @@
         platform.partOf = [](const std::string &key) {
             return key.substr(0, key.find('/'));
         };
-        platform.readTable = [this, readTable = platform.readTable](const std::string &table,
-                                                                    SnapshotCallback callback) {
-            readTable(table, std::move(callback));
-            if (const JobId id = removedBetweenReads;
-                (table == jobTable || table == progressTable) && !id.empty()) {
-                removedBetweenReads = {};
-                platform.commit({.deletes = {jobRowKey(id), progressRowKey(id)}},
-                                [](const Result<CommitVersions> &) {});
-            }
-        };
         platform.changes = [this, changes = platform.changes](const std::string &table,
                                                               std::uint64_t after, Duration wait,
                                                               ChangesCallback callback) {
@@ -146,6 +136,12 @@
                 return;
             }
             readTable(table, std::move(callback));
+            if (const JobId id = removedBetweenReads;
+                (table == jobTable || table == progressTable) && !id.empty()) {
+                removedBetweenReads = {};
+                platform.commit({.deletes = {jobRowKey(id), progressRowKey(id)}},
+                                [](const Result<CommitVersions> &) {});
+            }
         };
         platform.commit = [this, commit = platform.commit](const Transaction &transaction,
                                                            CommitCallback callback) {
@@ -388,6 +384,15 @@
             return n;
         });
     }
+
+    /// Returns how often @p id has been started 0.2 s after a job that is stored now began to run.
+    std::size_t startsAfterNextJob(const std::string &id)
+    {
+        submit(oneTask("next"));
+        REQUIRE(runs("next"));
+        std::this_thread::sleep_for(milliseconds(200));
+        return startsOf(id);
+    }
 };
 
 } // namespace
@@ -932,10 +937,7 @@
         return true;
     });
     cluster.hold(2);
-    cluster.submit(oneTask("next"));
-    REQUIRE(cluster.runs("next"));
-    std::this_thread::sleep_for(milliseconds(200));
-    CHECK(cluster.startsOf("j") == 1);
+    CHECK(cluster.startsAfterNextJob("j") == 1);
 }
 
 // Guards against an ended job that runs again under the same holder: the store kept the job's row,
@@ -948,10 +950,7 @@
     onLoop(cluster.loop, [&] { return cluster.historyLost = true; });
     std::this_thread::sleep_for(2 * cluster.readJobsEvery);
     onLoop(cluster.loop, [&] { return std::exchange(cluster.historyLost, false); });
-    cluster.submit(oneTask("next"));
-    REQUIRE(cluster.runs("next"));
-    std::this_thread::sleep_for(milliseconds(200));
-    CHECK(cluster.startsOf("j") == 1);
+    CHECK(cluster.startsAfterNextJob("j") == 1);
 }
 
 // Guards against tasks of cancelled jobs that start after a takeover: a front stored the
@@ -1082,9 +1081,6 @@
         return true;
     });
     cluster.hold(2);
-    cluster.submit(oneTask("next"));
-    REQUIRE(cluster.runs("next"));
-    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(cluster.startsAfterNextJob("j") == 1);
     CHECK(cluster.removedBetweenReads.empty());
-    CHECK(cluster.startsOf("j") == 1);
 }
