--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -8,7 +8,7 @@
   echo "not run: build the deploy file and run review/build.sh first"
   exit 2
 fi
-"$standins" late-write "$daemon" review/4/record.txt "${TROUBLE:-1}"
+"$standins" late-write "$daemon" review/5/record.txt "${TROUBLE:-1}"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
