--- a/review/standins/latewrite.cpp
+++ b/review/standins/latewrite.cpp
@@ -1,5 +1,6 @@
 #include "cases.h"
 
+#include <algorithm>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -10,6 +11,9 @@
 /// A write without an answer is executed 1 to 6 s later.
 constexpr Duration lateness = milliseconds(5500);
 constexpr std::int64_t cancelMs = 3000;
+/// `contact_timeout_ms` of the site: machines are in touch again this long after the store's last
+/// lateness.
+constexpr std::int64_t contactTimeoutMs = 3000;
 constexpr Duration cancelDelay = milliseconds(100);
 constexpr Duration cancelRetryDelay = milliseconds(400);
 constexpr Duration observeTime = milliseconds(20000);
@@ -76,14 +80,19 @@
             deployment.finish(Verdict::NotRun, "the write of the job was not seen");
             return;
         }
+        // Starts by machines that may be out of touch are not counted.
+        std::int64_t boundMs = acknowledgedMs + cancelMs;
+        if (const auto lateWriteMs = deployment.store().lateWriteMs()) {
+            boundMs = std::max(boundMs, *lateWriteMs + contactTimeoutMs);
+        }
         int late = 0;
         for (const RunRecord &run : deployment.runs()) {
-            late += run.startedMs > acknowledgedMs + cancelMs ? 1 : 0;
+            late += run.startedMs > boundMs ? 1 : 0;
         }
         const std::string what = "the job was answered with " + std::to_string(submitStatus)
                                  + ", its cancelling was acknowledged at "
                                  + std::to_string(acknowledgedMs) + " ms, and "
-                                 + std::to_string(late) + " tasks started over "
+                                 + std::to_string(late) + " tasks started in touch over "
                                  + std::to_string(cancelMs) + " ms later";
         deployment.finish(late > 0 ? Verdict::Broken : Verdict::Held,
                           late > 0 ? "UNASKED: " + what : what);
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -73,6 +73,11 @@
     m_lateness = std::move(lateness);
 }
 
+std::optional<std::int64_t> Store::lateWriteMs() const
+{
+    return m_lateWriteMs;
+}
+
 void Store::serve(std::size_t caller, const HttpRequest &request, const HttpResponder &respond)
 {
     const Reply reply = [this, respond](const HttpResponse &response) {
@@ -98,6 +103,7 @@
         // The connection stays open and delivers nothing further.
         m_unanswered.push_back(reply);
         m_loop.postAfter(*lateness, [this, caller, call] {
+            m_lateWriteMs = m_record.nowMs();
             m_record.add("the store executes the late write: HTTP status "
                          + std::to_string(commit(caller, call).status));
         });
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -38,6 +38,8 @@
     /// Sets a function that returns for a transaction how much later it is executed; it then gets
     /// no answer. Without a value, the transaction is executed and answered as usual.
     void setLateWrites(std::function<std::optional<Duration>(const nlohmann::json &)> lateness);
+    /// Returns when the last late write was executed, in the record's time.
+    std::optional<std::int64_t> lateWriteMs() const;
 
 private:
     struct Row
@@ -79,6 +81,7 @@
     std::function<std::optional<Duration>(const nlohmann::json &)> m_lateness;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::vector<Reply> m_unanswered;
+    std::optional<std::int64_t> m_lateWriteMs;
 };
 
 } // namespace acaciadeal::review
