Bound a holder's connections to each host, and close them when it stops

A host accepts 64 connections from all daemons together. The client opened one for each call that found no idle one, kept 16 to each host for ever, and belonged to the daemon, so that former holders kept theirs. Machines without power cannot close theirs at all.

Further calls wait; a start that gets no connection in half of its timeout was not sent, which does not count against the host. The connections belong to the holder and are closed when it stops.

With holder.cpp and dispatcher.cpp of before, "a holder that stops closes its connections to the hosts" and "a start that was not sent does not count against the host" fail; the others need options that did not exist.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -633,7 +633,9 @@
     task->phaseSince = waitsSince;
     // An immediate retry would likely choose the same host and be refused again.
     task->notBefore = now + (outcome == StartOutcome::Malformed ? malformedDelay : refusedDelay);
-    task->lastFailedHost = order.host;
+    if (outcome != StartOutcome::NotSent) {
+        task->lastFailedHost = order.host;
+    }
 }
 
 void declareRunsLost(Dispatcher &dispatcher, const HostId &host, const std::string &reason,
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -370,6 +370,21 @@
     CHECK(findTask(dispatcher.fleet, key("j"))->phase == TaskPhase::Waiting);
 }
 
+// Guards against avoiding a healthy host because orders wait for its connections.
+TEST_CASE("a start that was not sent does not count against the host")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    for (int n = 0; n < 2 * dispatcher.options.refusalsBeforeAvoiding; ++n) {
+        add(dispatcher, job("j" + std::to_string(n), {step(1, 100)}));
+    }
+    for (const StartRun &order : plan(dispatcher, at(0)).starts) {
+        applyStartOutcome(dispatcher, order, StartOutcome::NotSent, at(100));
+    }
+    CHECK(dispatcher.fleet.hosts[{"h"}].avoidUntil <= at(100));
+    CHECK_FALSE(plan(dispatcher, at(300)).starts.empty());
+}
+
 // Guards against starting tasks that may still be running on a host that has not reported.
 TEST_CASE("tasks of a recovered job wait until the recovery ends")
 {
--- a/packages/dispatch/taskrun.cpp
+++ b/packages/dispatch/taskrun.cpp
@@ -50,6 +50,8 @@
         return "unhealthy";
     case StartOutcome::Malformed:
         return "malformed";
+    case StartOutcome::NotSent:
+        return "not-sent";
     case StartOutcome::Unknown:
         return "unknown";
     }
--- a/packages/dispatch/taskrun.h
+++ b/packages/dispatch/taskrun.h
@@ -95,6 +95,9 @@
     Unhealthy,
     /// The host could not parse the order.
     Malformed,
+    /// The order was not sent: all connections to the host stayed in use. Says nothing about the
+    /// host's health.
+    NotSent,
     /// No answer. The order may have been executed, or may still be executed later.
     Unknown,
 };
--- a/packages/fleet/fakehosts.cpp
+++ b/packages/fleet/fakehosts.cpp
@@ -74,6 +74,11 @@
     return n;
 }
 
+int FakeHosts::closedClients() const
+{
+    return m_closedClients;
+}
+
 void FakeHosts::endRun(const std::string &id, const TaskKey &task, RunEnd how)
 {
     FakeHost &host = m_hosts.at(id);
@@ -167,6 +172,10 @@
         .renewLease =
             [this](const HostCall &call, const RenewalCall &renewal, ReportCallback callback) {
                 renewLease(call, renewal, std::move(callback));
+            },
+        .close =
+            [this] {
+                ++m_closedClients;
             }};
 }
 
--- a/packages/fleet/fakehosts.h
+++ b/packages/fleet/fakehosts.h
@@ -49,6 +49,8 @@
     /// Returns the number of active runs of @p task on all hosts; a run whose lease has expired
     /// does not count.
     int activeRuns(const TaskKey &task) const;
+    /// Returns how many clients have been closed.
+    int closedClients() const;
 
 private:
     void renewLease(const HostCall &call, const RenewalCall &renewal, ReportCallback callback);
@@ -58,6 +60,7 @@
 
     EventLoop &m_loop;
     std::map<std::string, FakeHost> m_hosts;
+    int m_closedClients = 0;
 };
 
 } // namespace acaciadeal
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -541,6 +541,18 @@
     CHECK(cluster.startCount("j") == 1);
 }
 
+// Guards against former holders that keep the connections which a host accepts. Review, case 2.
+TEST_CASE("a holder that stops closes its connections to the hosts")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.startHolder(1);
+    cluster.submit(oneTaskJob("j"));
+    REQUIRE(cluster.waitUntilRunning("j"));
+    CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.closedClients(); }) == 0);
+    cluster.runOnLoop([&] { holder.stop(); });
+    CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.closedClients(); }) == 1);
+}
+
 // Guards against a cancelled job that continues to run: a daemon that cannot reach the holder
 // stores the cancellation, and the holder does not read it.
 TEST_CASE("a cancellation row in the store stops the job")
--- a/packages/fleet/fleetadapter.h
+++ b/packages/fleet/fleetadapter.h
@@ -12,7 +12,7 @@
 
 namespace acaciadeal {
 
-class HttpClient;
+class EventLoop;
 
 /// What an adapter's request handler for callers uses.
 struct CallerEnvironment
@@ -27,8 +27,9 @@
 struct FleetAdapter
 {
     static constexpr std::string_view settingName = "fleet.adapter";
-    /// Returns the functions that send calls to hosts.
-    HostClient (*createHostClient)(HttpClient &client);
+    /// Returns the functions that send calls to hosts, with connections of their own. Precondition:
+    /// @p loop outlives them.
+    HostClient (*createHostClient)(EventLoop &loop);
     /// Returns how the rows of operators are decoded.
     OperatorTableSchema (*operatorTableSchema)();
     /// Returns the handler of callers' requests.
--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -6,7 +6,6 @@
 #include "fleet/operatorwatch.h"
 #include "fleet/ownership.h"
 #include "fleet/statuspages.h"
-#include "http/httpclient.h"
 #include "http/httprouter.h"
 #include "http/httpserver.h"
 #include "kernel/pluginregistry.h"
@@ -87,7 +86,6 @@
     explicit Impl(DaemonSettings daemonSettings)
         : settings(std::move(daemonSettings))
         , loop({.threads = 1})
-        , client(loop, {})
         , peers(loop)
         , metrics({})
     {
@@ -102,7 +100,6 @@
 
     DaemonSettings settings;
     EventLoop loop;
-    HttpClient client;
     PeerClient peers;
     Metrics metrics;
     PlatformAdapter platform;
@@ -172,7 +169,7 @@
     holder = std::make_shared<FleetHolder>(
         FleetHolderEnvironment{.loop = loop,
                                .platform = platform,
-                               .hosts = adapter.createHostClient(client),
+                               .hosts = adapter.createHostClient(loop),
                                .metrics = metrics,
                                .mayAct = [this] { return ownership->mayAct(); },
                                .onFenced =
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -504,11 +504,15 @@
         env.onFenced("host " + link.id.value + " has seen the token of a newer holder");
         return;
     }
+    link.nextRenewalAt = now + options.renewalRetryDelay;
+    if (error.code == ResultCode::NotHandedOver) {
+        // Not sent because earlier renewals wait at the host, which says nothing about the host.
+        return;
+    }
     ++link.failures;
     if (std::exchange(host.reachable, false) || link.failures == 1) {
         logEvent(EventId::HostUnreachable, {{"host", link.id.value}, {"reason", error.message}});
     }
-    link.nextRenewalAt = now + options.renewalRetryDelay;
 }
 
 /// Resets what is known about a host that has restarted. Its runs are updated by the next report
@@ -942,6 +946,8 @@
     m_impl->self.reset();
     m_impl->roster.stop();
     m_impl->writer.stop();
+    // The hosts' connections are needed by the next holder.
+    m_impl->env.hosts.close();
 }
 
 void FleetHolder::finish(std::function<void()> done)
--- a/packages/fleet/hostclient.h
+++ b/packages/fleet/hostclient.h
@@ -36,7 +36,8 @@
 using StartCallback = std::function<void(StartOutcome, std::string detail)>;
 using OrderCallback = std::function<void(Result<void>)>;
 /// Receives the host's report. Errors: StaleEpoch if the host has seen a higher token, HostUnusable
-/// if a host with another id has the address, or the error of the connection.
+/// if a host with another id has the address, NotHandedOver if the call was not sent because
+/// earlier ones occupy all connections, or the error of the connection.
 using ReportCallback = std::function<void(Result<HostReport>)>;
 
 /// Asynchronous calls to hosts. All functions return immediately and call back exactly once.
@@ -50,6 +51,9 @@
     std::function<void(const HostCall &, const PaceRun &, OrderCallback)> paceRun;
     /// Extends the host's lease, acknowledges ended runs, and returns the host's report.
     std::function<void(const HostCall &, const RenewalCall &, ReportCallback)> renewLease;
+    /// Closes the connections to all hosts, those of calls in progress after their answers. Later
+    /// calls are not sent.
+    std::function<void()> close;
 };
 
 } // namespace acaciadeal
--- a/packages/http/http_test.cpp
+++ b/packages/http/http_test.cpp
@@ -3,6 +3,7 @@
 #include "http/httpserver.h"
 #include "runtime/eventloop.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -11,7 +12,10 @@
 #include <doctest/doctest.h>
 #include <functional>
 #include <future>
+#include <memory>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace acaciadeal;
 
@@ -335,3 +339,150 @@
     CHECK(outcome.response->body.size() == 256 * 1024);
     CHECK(iterationsUsed < 100);
 }
+
+namespace {
+
+/// Server that holds its answers until release(). Records the largest number of requests that it
+/// had at the same time.
+class HoldingServer
+{
+public:
+    explicit HoldingServer(EventLoop &loop)
+        : m_loop(loop)
+        , m_server(loop, {.listen = {"127.0.0.1", 0}},
+                   [this](const HttpRequest &, const HttpResponder &respond) {
+                       m_held.push_back(respond);
+                       m_maxHeld = std::max(m_maxHeld, m_held.size());
+                       ++m_requests;
+                       if (m_released) {
+                           answerAll();
+                       }
+                   })
+    {
+        REQUIRE(m_server.start());
+    }
+    Endpoint endpoint() const
+    {
+        return m_server.endpoint();
+    }
+    std::size_t requests()
+    {
+        return onLoop([this] { return m_requests; });
+    }
+    std::size_t maxHeld()
+    {
+        return onLoop([this] { return m_maxHeld; });
+    }
+    /// Answers all requests, and later ones at once.
+    void release()
+    {
+        onLoop([this] {
+            m_released = true;
+            answerAll();
+            return std::size_t{0};
+        });
+    }
+
+private:
+    void answerAll()
+    {
+        for (const HttpResponder &respond : std::exchange(m_held, {})) {
+            respond({});
+        }
+    }
+    std::size_t onLoop(const std::function<std::size_t()> &function)
+    {
+        std::promise<std::size_t> result;
+        m_loop.post([&] { result.set_value(function()); });
+        return result.get_future().get();
+    }
+
+    EventLoop &m_loop;
+    std::vector<HttpResponder> m_held;
+    std::size_t m_maxHeld = 0;
+    std::size_t m_requests = 0;
+    bool m_released = false;
+    HttpServer m_server;
+};
+
+using Outcomes = std::vector<std::future<HttpOutcome>>;
+
+Outcomes sendCalls(HttpClient &client, const Endpoint &endpoint, int n, Duration timeout)
+{
+    Outcomes outcomes;
+    for (int i = 0; i < n; ++i) {
+        auto outcome = std::make_shared<std::promise<HttpOutcome>>();
+        outcomes.push_back(outcome->get_future());
+        client.send(endpoint, {}, {.timeout = timeout},
+                    [outcome](HttpOutcome result) { outcome->set_value(std::move(result)); });
+    }
+    return outcomes;
+}
+
+} // namespace
+
+// Guards against a client that takes more connections than its share of a server's limit.
+TEST_CASE("calls beyond maxConnectionsPerEndpoint wait for a connection")
+{
+    EventLoop serverLoop({.threads = 1});
+    HoldingServer server(serverLoop);
+    EventLoop loop({.threads = 1});
+    HttpClient client(loop, {.maxIdleConnectionsPerEndpoint = 2, .maxConnectionsPerEndpoint = 2});
+    Outcomes outcomes = sendCalls(client, server.endpoint(), 6, std::chrono::seconds(5));
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(server.requests() == 2);
+    server.release();
+    for (auto &outcome : outcomes) {
+        CHECK(outcome.get().response.has_value());
+    }
+    CHECK(server.maxHeld() == 2);
+    CHECK(server.requests() == 6);
+    loop.stop();
+}
+
+// Guards against an order that is sent when the caller has little time left for its answer, and
+// against one that is reported as sent.
+TEST_CASE("a call that gets no connection in half of its timeout is not handed over")
+{
+    EventLoop serverLoop({.threads = 1});
+    HoldingServer server(serverLoop);
+    EventLoop loop({.threads = 1});
+    HttpClient client(loop, {.maxIdleConnectionsPerEndpoint = 1, .maxConnectionsPerEndpoint = 1});
+    Outcomes outcomes = sendCalls(client, server.endpoint(), 2, milliseconds(400));
+    const HttpOutcome second = outcomes[1].get();
+    REQUIRE_FALSE(second.response.has_value());
+    CHECK(second.response.error().code == ResultCode::NotHandedOver);
+    CHECK_FALSE(second.handedOver);
+    const HttpOutcome first = outcomes[0].get();
+    REQUIRE_FALSE(first.response.has_value());
+    CHECK(first.response.error().code == ResultCode::TimedOut);
+    CHECK(first.handedOver);
+    // The connection that timed out was closed, so that the next call gets one.
+    server.release();
+    CHECK(sendCalls(client, server.endpoint(), 1, milliseconds(400))[0].get().response.has_value());
+    CHECK(server.requests() == 2);
+    loop.stop();
+}
+
+// Guards against connections that are kept by a client that does not use them any more.
+TEST_CASE("close() closes idle connections, and those in use after their answers")
+{
+    EventLoop serverLoop({.threads = 1});
+    HoldingServer server(serverLoop);
+    EventLoop loop({.threads = 1});
+    HttpClient client(loop, {});
+    Outcomes outcomes = sendCalls(client, server.endpoint(), 2, std::chrono::seconds(5));
+    while (server.requests() < 2) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    client.close();
+    server.release();
+    for (auto &outcome : outcomes) {
+        CHECK(outcome.get().response.has_value());
+    }
+    const HttpOutcome late = sendCalls(client, server.endpoint(), 1, milliseconds(400))[0].get();
+    REQUIRE_FALSE(late.response.has_value());
+    CHECK(late.response.error().code == ResultCode::NotHandedOver);
+    CHECK(server.requests() == 2);
+    loop.stop();
+}
--- a/packages/http/httpclient.cpp
+++ b/packages/http/httpclient.cpp
@@ -10,9 +10,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -45,6 +45,32 @@
     return ec == asio::error::would_block;
 }
 
+/// A call that may have to wait for a connection.
+class PendingCall
+{
+public:
+    PendingCall() = default;
+    PendingCall(const PendingCall &) = delete;
+    PendingCall &operator=(const PendingCall &) = delete;
+    virtual ~PendingCall() = default;
+
+    /// Sends the request. Without a stream, opens a connection first.
+    virtual void begin(StreamPtr stream) = 0;
+    /// Ends the call before anything was sent.
+    virtual void fail(const std::string &reason) = 0;
+};
+
+using PendingCallPtr = std::shared_ptr<PendingCall>;
+
+/// The connections to one endpoint.
+struct EndpointConnections
+{
+    std::vector<StreamPtr> idle;
+    /// Connections that are open or being opened, including the idle ones.
+    std::size_t open = 0;
+    std::deque<PendingCallPtr> waiting;
+};
+
 } // namespace
 
 struct HttpClient::Impl
@@ -55,34 +81,118 @@
     {
     }
 
-    StreamPtr takeIdleStream(const Endpoint &endpoint)
+    /// Begins @p call on an idle or a new connection, or puts it into the queue of its endpoint.
+    /// Returns whether the call has begun or failed.
+    bool beginOrEnqueue(const Endpoint &endpoint, const PendingCallPtr &call, bool fresh);
+    /// Ends the wait of @p call if it is still in the queue.
+    void giveUpWaiting(const Endpoint &endpoint, const PendingCallPtr &call);
+    /// Takes back the connection of a call that has ended; @p stream is null if it was closed. The
+    /// next waiting call uses it.
+    void release(const Endpoint &endpoint, StreamPtr stream);
+    void close();
+
+    EventLoop &loop;
+    HttpClientOptions options;
+    std::mutex mutex;
+    std::map<Endpoint, EndpointConnections> connections;
+    bool closed = false;
+
+private:
+    StreamPtr takeIdleStream(EndpointConnections &endpoint) const;
+};
+
+/// Precondition: the caller holds the mutex.
+StreamPtr HttpClient::Impl::takeIdleStream(EndpointConnections &endpoint) const
+{
+    while (!endpoint.idle.empty()) {
+        StreamPtr stream = std::move(endpoint.idle.back());
+        endpoint.idle.pop_back();
+        if (isReusable(*stream)) {
+            return stream;
+        }
+        --endpoint.open;
+    }
+    return nullptr;
+}
+
+bool HttpClient::Impl::beginOrEnqueue(const Endpoint &endpoint, const PendingCallPtr &call,
+                                      bool fresh)
+{
+    StreamPtr stream;
+    bool refused = false;
     {
         const std::lock_guard lock(mutex);
-        std::vector<StreamPtr> &streams = idleStreams[endpoint];
-        while (!streams.empty()) {
-            StreamPtr stream = std::move(streams.back());
-            streams.pop_back();
-            if (isReusable(*stream)) {
-                return stream;
+        refused = closed;
+        if (!refused) {
+            EndpointConnections &target = connections[endpoint];
+            if (!fresh) {
+                stream = takeIdleStream(target);
+            }
+            const std::size_t limit = options.maxConnectionsPerEndpoint;
+            if (!stream && limit > 0 && target.open >= limit) {
+                target.waiting.push_back(call);
+                return false;
             }
+            target.open += stream ? 0 : 1;
         }
-        return nullptr;
     }
+    if (refused) {
+        call->fail("the client is closed");
+    } else {
+        call->begin(std::move(stream));
+    }
+    return true;
+}
 
-    void addIdleStream(const Endpoint &endpoint, StreamPtr stream)
+void HttpClient::Impl::giveUpWaiting(const Endpoint &endpoint, const PendingCallPtr &call)
+{
     {
         const std::lock_guard lock(mutex);
-        std::vector<StreamPtr> &streams = idleStreams[endpoint];
-        if (streams.size() < options.maxIdleConnectionsPerEndpoint) {
-            streams.push_back(std::move(stream));
+        if (std::erase(connections[endpoint].waiting, call) == 0) {
+            return;
         }
     }
+    call->fail("all connections to the server stayed in use");
+}
 
-    EventLoop &loop;
-    HttpClientOptions options;
-    std::mutex mutex;
-    std::map<Endpoint, std::vector<StreamPtr>> idleStreams;
-};
+void HttpClient::Impl::release(const Endpoint &endpoint, StreamPtr stream)
+{
+    PendingCallPtr next;
+    {
+        const std::lock_guard lock(mutex);
+        EndpointConnections &target = connections[endpoint];
+        if (!target.waiting.empty()) {
+            next = std::move(target.waiting.front());
+            target.waiting.pop_front();
+        } else if (stream && !closed
+                   && target.idle.size() < options.maxIdleConnectionsPerEndpoint) {
+            target.idle.push_back(std::move(stream));
+        } else {
+            --target.open;
+        }
+    }
+    if (next) {
+        next->begin(std::move(stream));
+    }
+}
+
+void HttpClient::Impl::close()
+{
+    std::vector<PendingCallPtr> waiting;
+    {
+        const std::lock_guard lock(mutex);
+        closed = true;
+        for (auto &[endpoint, target] : connections) {
+            target.open -= target.idle.size();
+            target.idle.clear();
+            waiting.insert(waiting.end(), target.waiting.begin(), target.waiting.end());
+            target.waiting.clear();
+        }
+    }
+    for (const PendingCallPtr &call : waiting) {
+        call->fail("the client is closed");
+    }
+}
 
 namespace {
 
@@ -99,7 +209,7 @@
 
 /// One request and its answer. Runs on the strand of its connection.
 template<typename Pool>
-class Call : public std::enable_shared_from_this<Call<Pool>>
+class Call : public PendingCall, public std::enable_shared_from_this<Call<Pool>>
 {
 public:
     Call(std::shared_ptr<Pool> pool, Endpoint endpoint, HttpCallback callback)
@@ -123,24 +233,40 @@
         // pools of several daemons together exceed the connection limit of a backend server.
         m_request.keep_alive(!options.freshConnection);
         m_request.prepare_payload();
+        m_deadline = std::chrono::steady_clock::now() + options.timeout;
 
-        if (!options.freshConnection) {
-            m_stream = m_pool->takeIdleStream(m_endpoint);
-        }
-        const bool connected = m_stream != nullptr;
-        if (!connected) {
-            m_stream =
-                std::make_unique<beast::tcp_stream>(asio::make_strand(m_pool->loop.context()));
+        const auto self = this->shared_from_this();
+        if (!m_pool->beginOrEnqueue(m_endpoint, self, options.freshConnection)) {
+            // The other half of the timeout is left for the call itself: an order that is sent just
+            // before its timeout would end with an unknown outcome.
+            m_pool->loop.postAfter(options.timeout / 2, [weak = std::weak_ptr(self)] {
+                if (const auto call = weak.lock()) {
+                    call->m_pool->giveUpWaiting(call->m_endpoint, call);
+                }
+            });
         }
-        asio::dispatch(m_stream->get_executor(),
-                       [self = this->shared_from_this(), connected, timeout = options.timeout] {
-                           self->m_stream->expires_after(timeout);
-                           if (connected) {
-                               self->write();
-                           } else {
-                               self->connect();
-                           }
-                       });
+    }
+
+    void begin(StreamPtr stream) override
+    {
+        const bool connected = stream && m_request.keep_alive();
+        m_stream =
+            connected
+                ? std::move(stream)
+                : std::make_unique<beast::tcp_stream>(asio::make_strand(m_pool->loop.context()));
+        asio::dispatch(m_stream->get_executor(), [self = this->shared_from_this(), connected] {
+            self->m_stream->expires_at(self->m_deadline);
+            if (connected) {
+                self->write();
+            } else {
+                self->connect();
+            }
+        });
+    }
+
+    void fail(const std::string &reason) override
+    {
+        m_callback({failure(ResultCode::NotHandedOver, reason, toString(m_endpoint)), false});
     }
 
 private:
@@ -226,13 +352,17 @@
         response.body = message.body();
         if (message.keep_alive() && m_request.keep_alive()) {
             m_stream->expires_never();
-            m_pool->addIdleStream(m_endpoint, std::move(m_stream));
+            m_reusable = true;
         }
         finish(std::move(response));
     }
 
     void finish(Result<HttpResponse> response)
     {
+        if (!m_reusable) {
+            m_stream.reset();
+        }
+        m_pool->release(m_endpoint, std::move(m_stream));
         m_callback({std::move(response), m_handedOver});
     }
 
@@ -243,7 +373,10 @@
     beast::flat_buffer m_buffer;
     beast::http::request<beast::http::string_body> m_request;
     beast::http::response_parser<beast::http::string_body> m_parser;
+    TimePoint m_deadline;
     bool m_handedOver = false;
+    /// Whether the connection can carry another call.
+    bool m_reusable = false;
 };
 
 } // namespace
@@ -262,4 +395,9 @@
         ->start(std::move(request), options);
 }
 
+void HttpClient::close()
+{
+    m_impl->close();
+}
+
 } // namespace acaciadeal
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -14,13 +14,18 @@
 
 struct HttpClientOptions
 {
+    /// Connections that are kept open for later calls.
     std::size_t maxIdleConnectionsPerEndpoint = 16;
+    /// Connections that may be open at the same time, idle ones included; 0 means no limit. A call
+    /// beyond the limit waits until a connection becomes free, for at most half of its timeout.
+    std::size_t maxConnectionsPerEndpoint = 0;
     std::size_t maxBodyBytes = 8 * 1024 * 1024;
 };
 
 struct HttpCallOptions
 {
-    /// Timeout of the whole call: connecting, sending and receiving the answer.
+    /// Timeout of the whole call: waiting for a connection, connecting, sending and receiving the
+    /// answer.
     Duration timeout = std::chrono::seconds(5);
     /// Opens a new connection for this call and closes it after the answer. A pooled connection may
     /// be closed by the server while it is idle, which would make the outcome unknown.
@@ -30,7 +35,8 @@
 /// Outcome of one call.
 struct HttpOutcome
 {
-    /// The complete answer. Errors: ConnectionFailed, TimedOut, IncompleteAnswer.
+    /// The complete answer. Errors: ConnectionFailed, TimedOut, IncompleteAnswer; NotHandedOver if
+    /// no connection became free or the client was closed before the call got one.
     Result<HttpResponse> response;
     /// Whether the server may have received the request; false only if it is certain that no byte
     /// of it was sent.
@@ -53,6 +59,11 @@
     void send(const Endpoint &endpoint, HttpRequest request, const HttpCallOptions &options,
               HttpCallback callback);
 
+    /// Closes the idle connections at once, and each other one after the answer that it waits for.
+    /// Calls that wait for a connection, and later calls, fail with NotHandedOver. Their callbacks
+    /// may run before this method returns.
+    void close();
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
