Conclude nothing from a report that leaves out ended runs

A host returns 500 ended runs at a time and does not say that there are more. A run that was in neither list of a report counted as gone, and a host with such a report as known, which ended the wait of a takeover.

Its ends and active runs are applied, but no run is declared lost, an unanswered start stays open, and a takeover goes on waiting. Acknowledging the first page, once its ends are durable, brings the next one.

With dispatcher.cpp of before, the three tests of dispatch_test and the two of fleet_test fail.

--- a/packages/base/event.cpp
+++ b/packages/base/event.cpp
@@ -112,6 +112,8 @@
               "The holder decided whether a job may be stored."},
     EventInfo{EventId::TaskWaits, Severity::Info, "TaskWaits",
               "A task has waited for a while; which rule keeps it back, and what the holder sees."},
+    EventInfo{EventId::HostReportIncomplete, Severity::Info, "HostReportIncomplete",
+              "A host has more ended runs than one report lists, or lists all of them again."},
 };
 
 } // namespace
--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -69,6 +69,7 @@
     FleetStatus = 8019,
     JobOffered = 8020,
     TaskWaits = 8021,
+    HostReportIncomplete = 8022,
 };
 
 /// Entry of the event catalogue.
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -587,12 +587,14 @@
     for (const PresentRun &active : report.active) {
         applyActiveRun(dispatcher, *state, active, now);
     }
-    declareUnlistedRunsLost(dispatcher, *state, report, sentAt, fenced, now);
+    if (report.complete) {
+        declareUnlistedRunsLost(dispatcher, *state, report, sentAt, fenced, now);
+    }
     checkHostProgress(dispatcher, *state, now);
     updateModelFromHost(dispatcher.fleet, *state, now);
     adjustPace(dispatcher.fleet, *state, now);
     orderPaces(dispatcher.fleet, *state, dispatcher.paces);
-    state->reported = true;
+    state->reported = state->reported || report.complete;
     state->reportedAt = now;
 }
 
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -370,6 +370,46 @@
     CHECK(findTask(dispatcher.fleet, key("j"))->phase == TaskPhase::Waiting);
 }
 
+// Guards against starting a task again whose run has ended as done: a host with many ends lists
+// only the first ones, and the run is in neither list.
+TEST_CASE("a run is not declared lost by a report that leaves out ends")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    add(dispatcher, job("j", {step(1, 1000)}));
+    startAll(dispatcher, at(100));
+    applyReport(dispatcher, {"h"}, {.complete = false}, at(150), true, at(160));
+    CHECK(findTask(dispatcher.fleet, key("j"))->phase == TaskPhase::Running);
+    CHECK(plan(dispatcher, at(170)).starts.empty());
+    report(dispatcher, "h", {{.number = 501, .task = key("j"), .run = 1, .end = RunEnd::Done}},
+           at(180));
+    CHECK(stateOf(*findJob(dispatcher.fleet, {"j"})) == JobState::Completed);
+    CHECK(plan(dispatcher, at(190)).starts.empty());
+}
+
+// The same for a run whose start was not answered: it may have ended already.
+TEST_CASE("a task with an unanswered start waits for a report that leaves out no ends")
+{
+    Dispatcher dispatcher;
+    addUnansweredStart(dispatcher, at(200));
+    applyReport(dispatcher, {"h"}, {.complete = false}, at(210), true, at(220));
+    CHECK(plan(dispatcher, at(220)).starts.empty());
+    applyReport(dispatcher, {"h"}, {}, at(230), true, at(240));
+    CHECK(plan(dispatcher, at(240)).starts.size() == 1);
+}
+
+// Guards against treating a host's runs as known before all its ends have been read.
+TEST_CASE("a host counts as reported only after a report that leaves out no ends")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    dispatcher.fleet.hosts[{"h"}].reported = false;
+    applyReport(dispatcher, {"h"}, {.complete = false}, at(10), true, at(10));
+    CHECK_FALSE(dispatcher.fleet.hosts[{"h"}].reported);
+    applyReport(dispatcher, {"h"}, {}, at(20), true, at(20));
+    CHECK(dispatcher.fleet.hosts[{"h"}].reported);
+}
+
 // Guards against avoiding a healthy host because orders wait for its connections.
 TEST_CASE("a start that was not sent does not count against the host")
 {
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -116,7 +116,7 @@
     bool leaving = false;
     /// Whether it is on the platform's host list.
     bool listed = false;
-    /// Whether it has reported to this holder, so that its runs are known.
+    /// Whether it has sent a complete report to this holder, so that its runs are known.
     bool reported = false;
     /// When its last report arrived.
     TimePoint reportedAt;
--- a/packages/dispatch/taskrun.h
+++ b/packages/dispatch/taskrun.h
@@ -77,6 +77,9 @@
     std::vector<PresentRun> active;
     /// Ends that were not acknowledged yet, in ascending order of their numbers.
     std::vector<ReportedRunEnd> ended;
+    /// Whether @ref ended contains all of them. If not, a run that is in neither list may have
+    /// ended, with any result.
+    bool complete = true;
 };
 
 /// A host's answer to a start order.
--- a/packages/fleet/fakehosts.cpp
+++ b/packages/fleet/fakehosts.cpp
@@ -120,6 +120,8 @@
         return ended.number <= renewal.acknowledged;
     });
     HostReport report{.hostClock = hostClock(), .bootedAt = host.bootedAt, .ended = host.ended};
+    report.complete = report.ended.size() < host.maxEndsPerReport;
+    report.ended.resize(std::min(report.ended.size(), host.maxEndsPerReport));
     for (const auto &[task, run] : host.active) {
         report.active.push_back({.task = task, .run = run, .percent = 10});
     }
--- a/packages/fleet/fakehosts.h
+++ b/packages/fleet/fakehosts.h
@@ -4,6 +4,8 @@
 #include "fleet/hostclient.h"
 #include "store/platform.h"
 
+#include <cstddef>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,6 +27,8 @@
     bool losesStartAnswers = false;
     std::map<TaskKey, std::uint64_t> active;
     std::vector<ReportedRunEnd> ended;
+    /// Number of ended runs that one report lists.
+    std::size_t maxEndsPerReport = std::numeric_limits<std::size_t>::max();
     /// Number of the last ended run that was acknowledged, for each renewal that was executed.
     std::vector<std::uint64_t> acknowledgements;
     /// Task and run number of every start order that was executed.
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -541,6 +541,60 @@
     CHECK(cluster.startCount("j") == 1);
 }
 
+// Guards against a second run of tasks that are done: a host with many ended runs lists only the
+// first ones in its report to a new holder. Review, case 3.
+TEST_CASE("a new holder reads all ended runs of a host before their tasks may start")
+{
+    constexpr std::uint32_t tasks = 10;
+    Cluster cluster(1);
+    cluster.startHolder(1);
+    JobSpec job = oneTaskJob("j");
+    job.steps[0].tasks = tasks;
+    job.steps[0].taskSize.milliCores = 100;
+    cluster.submit(job);
+    FakeHost &host = cluster.hosts.host("h0");
+    REQUIRE(eventually(cluster.loop, [&] { return host.active.size() == tasks; }));
+    cluster.runOnLoop([&] {
+        cluster.mayAct[1] = false;
+        host.maxEndsPerReport = 3;
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            cluster.hosts.endRun("h0", {.job = {"j"}, .index = n}, RunEnd::Done);
+        }
+    });
+    FleetHolder &next = cluster.startHolder(2);
+    REQUIRE(eventually(cluster.loop, [&] {
+        const JobRuntime *const runtime = findJob(next.dispatcher().fleet, {"j"});
+        return runtime != nullptr && stateOf(*runtime) == JobState::Completed && host.ended.empty();
+    }));
+    CHECK(onLoop(cluster.loop, [&] { return host.starts.size(); }) == tasks);
+}
+
+// The same for one holder: the store does not answer while more runs end than a report lists.
+TEST_CASE("runs whose ends follow in a later report are not started again")
+{
+    constexpr std::uint32_t tasks = 10;
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.startHolder(1);
+    JobSpec job = oneTaskJob("j");
+    job.steps[0].tasks = tasks;
+    job.steps[0].taskSize.milliCores = 100;
+    cluster.submit(job);
+    FakeHost &host = cluster.hosts.host("h0");
+    REQUIRE(eventually(cluster.loop, [&] { return host.active.size() == tasks; }));
+    cluster.runOnLoop([&] {
+        cluster.progressDelay = milliseconds(200);
+        host.maxEndsPerReport = 3;
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            cluster.hosts.endRun("h0", {.job = {"j"}, .index = n}, RunEnd::Done);
+        }
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        return stateOf(*findJob(holder.dispatcher().fleet, {"j"})) == JobState::Completed
+               && host.ended.empty();
+    }));
+    CHECK(onLoop(cluster.loop, [&] { return host.starts.size(); }) == tasks);
+}
+
 // Guards against former holders that keep the connections which a host accepts. Review, case 2.
 TEST_CASE("a holder that stops closes its connections to the hosts")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -107,6 +107,7 @@
     void sendRenewal(HostLink &link, milliseconds wait, TimePoint now);
     void onReport(const HostId &id, std::uint64_t sequence, std::uint64_t token, TimePoint sentAt,
                   const Result<HostReport> &report);
+    static void noteCompleteness(HostLink &link, const HostReport &report);
     void onRenewalFailed(HostLink &link, FleetHost &host, const Error &error, TimePoint now);
     static void onHostRestarted(HostLink &link, FleetHost &host);
     void startNextRenewal(HostLink &link, TimePoint now);
@@ -484,7 +485,8 @@
     if (loaded) {
         const bool hasNewestToken = token == internal::fencingToken(options.epoch, link);
         applyReport(dispatcher, id, *report, sentAt, hasNewestToken, now);
-        link.hasUnansweredOrder = link.hasUnansweredOrder && !hasNewestToken;
+        link.hasUnansweredOrder = link.hasUnansweredOrder && !(hasNewestToken && report->complete);
+        noteCompleteness(link, *report);
     }
     if (leaseNotGranted || !loaded) {
         if (leaseNotGranted) {
@@ -497,6 +499,21 @@
     startNextRenewal(link, now);
 }
 
+void FleetHolder::Impl::noteCompleteness(HostLink &link, const HostReport &report)
+{
+    const bool changed = link.hasMoreEnds == report.complete;
+    link.hasMoreEnds = !report.complete;
+    if (changed) {
+        logEvent(
+            EventId::HostReportIncomplete,
+            {{"host", link.id.value},
+             {"complete", report.complete ? "yes" : "no"},
+             {"active", std::to_string(report.active.size())},
+             {"ended", std::to_string(report.ended.size())},
+             {"last_end", std::to_string(report.ended.empty() ? 0 : report.ended.back().number)}});
+    }
+}
+
 void FleetHolder::Impl::onRenewalFailed(HostLink &link, FleetHost &host, const Error &error,
                                         TimePoint now)
 {
@@ -534,13 +551,13 @@
     if (host == nullptr || link.renewing) {
         return;
     }
-    if (link.hasUnansweredOrder) {
+    if (link.hasUnansweredOrder && !link.hasMoreEnds) {
         sendRenewal(link, milliseconds(0), now);
         return;
     }
     if (host->lastSeenEnd > host->lastDurableEnd && !hasUnacknowledgedEnds(link, *host)) {
         // The ended runs are still being written; the host would answer immediately and report
-        // them again.
+        // them again, and none beyond them.
         link.nextRenewalAt = now + options.renewalRetryDelay;
         return;
     }
@@ -555,7 +572,7 @@
     const TimePoint now = bootClockNow();
     for (auto &[id, link] : links) {
         const FleetHost *const host = findHost(dispatcher.fleet, id);
-        if (host != nullptr && host->reported && host->reachable && !link.renewing) {
+        if (host != nullptr && link.clock && host->reachable && !link.renewing) {
             startNextRenewal(link, now);
         }
     }
--- a/packages/fleet/internal/hostlink.h
+++ b/packages/fleet/internal/hostlink.h
@@ -38,8 +38,10 @@
     int failures = 0;
     /// Highest number of an ended run whose acknowledgement the host has answered.
     std::uint64_t acknowledgedEnd = 0;
-    /// Whether an order got no answer since the last report with the host's newest token.
+    /// Whether an order got no answer since the last complete report with the host's newest token.
     bool hasUnansweredOrder = false;
+    /// Whether the last report left out ended runs. The host returns them after an acknowledgement.
+    bool hasMoreEnds = false;
 };
 
 /// Number of lower bits of a token that hold the counter; the bits above hold the epoch.
