Prevent a late write of a job whose cancellation was acknowledged

The cancellation of an unknown job stored nothing that would have stopped it.

Such a cancellation now creates the job's row as a tombstone, under the same condition as the write of the job, and is answered when that is durable. Only one of the two writes can succeed. On the related path of rejections, the holder admits a job again that it admitted before, since a 429 would contradict a late write of the first submission.

With jobfrontend.cpp of before, "a job that is cancelled before its write is executed is never stored" and "a cancellation of an unknown job is not answered while the store refuses writes" fail; with holder.cpp of before, "a job that was admitted once is not rejected when it is submitted again".

--- a/packages/base/resultcode.cpp
+++ b/packages/base/resultcode.cpp
@@ -73,6 +73,8 @@
     ResultCodeInfo{ResultCode::JobNotFound, "JobNotFound", "No such job is known."},
     ResultCodeInfo{ResultCode::QueueNotFound, "QueueNotFound", "No such queue is configured."},
     ResultCodeInfo{ResultCode::NotReady, "NotReady", "The daemon has no configuration yet."},
+    ResultCodeInfo{ResultCode::JobCancelled, "JobCancelled",
+                   "The job was cancelled before it was stored; it never runs."},
     ResultCodeInfo{ResultCode::TornEntry, "TornEntry",
                    "A log entry is truncated or fails verification."},
     ResultCodeInfo{ResultCode::RepeatedEntry, "RepeatedEntry",
--- a/packages/base/resultcode.h
+++ b/packages/base/resultcode.h
@@ -52,6 +52,7 @@
     JobNotFound = 3010,
     QueueNotFound = 3011,
     NotReady = 3012,
+    JobCancelled = 3013,
 
     TornEntry = 4001,
     RepeatedEntry = 4002,
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -607,6 +607,63 @@
     CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.closedClients(); }) == 1);
 }
 
+// Guards against rows that are kept for ever for jobs that were cancelled before they were stored.
+TEST_CASE("a tombstone is no job, and is removed after the retention time")
+{
+    Cluster cluster(1);
+    cluster.endedJobRetention = milliseconds(300);
+    bool historyLost = false;
+    SUBCASE("found in the change feed")
+    {
+    }
+    SUBCASE("found in the job table")
+    {
+        historyLost = true;
+    }
+    FleetHolder &holder = cluster.startHolder(1);
+    REQUIRE(eventually(cluster.loop, [&] { return holder.countPendingJobs("q").has_value(); }));
+    cluster.runOnLoop([&] { cluster.historyLost = historyLost; });
+    const auto storedRows = [&cluster] {
+        std::promise<std::size_t> n;
+        cluster.platform.readTable(jobTable, [&n](const Result<RowSnapshot> &snapshot) {
+            n.set_value(snapshot ? snapshot->rows.size() : 0);
+        });
+        return n.get_future().get();
+    };
+    cluster.platform.commit({.puts = {{jobRowKey({"j"}), encodeTombstone()}}},
+                            [](const Result<CommitVersions> &) {});
+    std::this_thread::sleep_for(milliseconds(150));
+    CHECK(storedRows() == 1);
+    CHECK(onLoop(cluster.loop, [&] { return holder.dispatcher().fleet.jobs.empty(); }));
+    std::this_thread::sleep_for(milliseconds(600));
+    CHECK(storedRows() == 0);
+}
+
+// Guards against telling a caller that a job never runs while an earlier submission of it, which
+// was admitted, may still be stored.
+TEST_CASE("a job that was admitted once is not rejected when it is submitted again")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.startHolder(1);
+    REQUIRE(eventually(cluster.loop, [&] { return holder.countPendingJobs("q").has_value(); }));
+    const auto backfillJob = [](const std::string &id, std::uint32_t tasks) {
+        JobSpec job = oneTaskJob(id);
+        job.steps[0].tasks = tasks;
+        job.steps[0].backfill = true;
+        job.steps[0].estimatedRunTime = std::chrono::seconds(10);
+        return job;
+    };
+    const auto isAdmitted = [&](const JobSpec &job) {
+        return onLoop(cluster.loop, [&] { return holder.offer(job).admitted; });
+    };
+    CHECK(isAdmitted(backfillJob("first", 1)));
+    cluster.submit(backfillJob("large", 5000));
+    REQUIRE(eventually(cluster.loop,
+                       [&] { return holder.dispatcher().fleet.jobs.contains({"large"}); }));
+    CHECK_FALSE(isAdmitted(backfillJob("second", 1)));
+    CHECK(isAdmitted(backfillJob("first", 1)));
+}
+
 // Guards against a cancelled job that continues to run: a daemon that cannot reach the holder
 // stores the cancellation, and the holder does not read it.
 TEST_CASE("a cancellation row in the store stops the job")
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -49,6 +49,14 @@
     return link.failures == 0 && host.lastDurableEnd > link.acknowledgedEnd;
 }
 
+/// Submissions of a job, as offered by the daemons that received them.
+struct Offer
+{
+    TimePoint firstAt;
+    /// Whether the job was admitted, so that a daemon may have sent a write of it.
+    bool admitted = false;
+};
+
 /// A removal of ended jobs in progress. The progress rows are deleted last: a job row without a
 /// progress row would run again under the next holder.
 struct JobRemoval
@@ -151,8 +159,10 @@
     std::uint64_t minTokenCounter = 0;
     /// Jobs that were announced by addStoredJob() before the tables were loaded.
     std::vector<JobSpec> jobsBeforeLoad;
-    /// Time of the first offer of jobs that were offered and are not stored.
-    std::map<JobId, TimePoint> firstOfferedAt;
+    /// Jobs that were offered, with the time of the first offer.
+    std::map<JobId, Offer> offers;
+    /// When this holder first read the tombstone in a job's row.
+    std::map<JobId, TimePoint> tombstoneSeenAt;
     /// Version of the job table up to which changes have been read.
     std::uint64_t jobsVersion = 0;
     /// When the last successful read of changed jobs was sent; everything stored before is known.
@@ -260,6 +270,9 @@
     for (const Error &error : ignored) {
         logEvent(EventId::RowIgnored, {{"row", error.where}, {"reason", error.message}});
     }
+    for (const JobId &id : tombstones(jobs.rows)) {
+        tombstoneSeenAt.try_emplace(id, now);
+    }
     jobsVersion = std::max(jobsVersion, jobs.version);
 }
 
@@ -871,6 +884,10 @@
         addJob(dispatcher, std::move(*job), std::move(empty), 0, false, now);
         return;
     }
+    if (isTombstone(value)) {
+        tombstoneSeenAt.try_emplace({key.substr(jobRowKey({}).size())}, now);
+        return;
+    }
     // The value of a cancellation row is the job's id.
     if (key == cancelRowKey({value})) {
         cancelJob(dispatcher, {value}, now);
@@ -881,8 +898,8 @@
 
 void FleetHolder::Impl::cleanUp(TimePoint now)
 {
-    std::erase_if(firstOfferedAt, [&](const auto &entry) {
-        return now - entry.second >= options.rejectedJobRetention;
+    std::erase_if(offers, [&](const auto &entry) {
+        return now - entry.second.firstAt >= options.rejectedJobRetention;
     });
     std::vector<JobId> &ended = dispatcher.fleet.ended;
     std::vector<JobId> old;
@@ -896,6 +913,15 @@
         }
         old.push_back(id);
     }
+    ended.erase(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(old.size()));
+    std::erase_if(tombstoneSeenAt, [&](const auto &entry) {
+        const bool isRemovable =
+            now - entry.second >= options.endedJobRetention && old.size() < maxJobsPerCleanup;
+        if (isRemovable) {
+            old.push_back(entry.first);
+        }
+        return isRemovable;
+    });
     if (old.empty()) {
         return;
     }
@@ -906,7 +932,6 @@
             .push_back(id);
         dispatcher.fleet.jobs.erase(id);
     }
-    ended.erase(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(old.size()));
     const auto removal =
         std::make_shared<JobRemoval>(JobRemoval{.partitionsInFlight = byPartition.size()});
     for (const auto &[partition, jobs] : byPartition) {
@@ -980,9 +1005,12 @@
         return {};
     }
     const TimePoint now = bootClockNow();
-    const TimePoint firstOffered = impl.firstOfferedAt.try_emplace(job.id, now).first->second;
-    const AdmissionDecision decision =
-        decideAdmission(impl.dispatcher.fleet, job, firstOffered, now);
+    Offer &offer = impl.offers.try_emplace(job.id, Offer{.firstAt = now}).first->second;
+    AdmissionDecision decision = decideAdmission(impl.dispatcher.fleet, job, offer.firstAt, now);
+    // The write of a job that was admitted may still be in progress. A rejection would tell the
+    // caller that the job never runs.
+    decision.admitted = decision.admitted || offer.admitted;
+    offer.admitted = decision.admitted;
     if (decision.cores > 0) {
         logEvent(EventId::JobOffered,
                  {{"job", job.id.value},
--- a/packages/fleet/jobfrontend.cpp
+++ b/packages/fleet/jobfrontend.cpp
@@ -221,11 +221,14 @@
 void JobFrontend::onStored(const std::shared_ptr<Submission> &submission,
                            const Result<CommitVersions> &result)
 {
-    // If the row exists already, an earlier attempt or another daemon has stored this job.
-    if (result || result.error().code == ResultCode::CheckFailed) {
+    if (result) {
         completeSubmission(submission, {});
         return;
     }
+    if (result.error().code == ResultCode::CheckFailed) {
+        readExistingRow(submission);
+        return;
+    }
     const bool unknown = result.error().code != ResultCode::PlatformUnavailable;
     submission->mayBeStored = submission->mayBeStored || unknown;
     const bool late = bootClockNow() + m_options.commitRetryDelay >= submission->deadline;
@@ -242,6 +245,23 @@
                                result.error().message));
 }
 
+/// Completes the submission of a job whose row exists already. An earlier attempt or another daemon
+/// has stored the job, or the job was cancelled before it was stored.
+void JobFrontend::readExistingRow(const std::shared_ptr<Submission> &submission)
+{
+    readState(submission->job.id, [this, submission](const Result<JobState> &state) {
+        if (state || state.error().code == ResultCode::CorruptSnapshot) {
+            completeSubmission(submission, {});
+        } else if (state.error().code == ResultCode::JobNotFound) {
+            completeSubmission(submission, failure(ResultCode::JobCancelled,
+                                                   "the job was cancelled before it was stored"));
+        } else {
+            completeSubmission(submission,
+                               failure(ResultCode::WriteOutcomeUnknown, state.error().message));
+        }
+    });
+}
+
 void JobFrontend::completeSubmission(const std::shared_ptr<Submission> &submission,
                                      const Result<void> &result)
 {
@@ -343,7 +363,7 @@
             callback(failure(ResultCode::PlatformUnavailable, jobRows.error().message));
             return;
         }
-        if (jobRows->empty()) {
+        if (jobRows->empty() || !tombstones(*jobRows).empty()) {
             callback(failure(ResultCode::JobNotFound, "the store has no such job", job.value));
             return;
         }
@@ -387,7 +407,27 @@
                });
 }
 
+/// Cancels a job that the holder does not know or that it could not be asked about. If there is no
+/// such job, a write of it may still be in progress, so the caller is told so only once a tombstone
+/// makes that write fail.
 void JobFrontend::storeCancellation(const JobId &job, JobStateCallback callback)
+{
+    const std::string key = jobRowKey(job);
+    m_env.platform.commit(
+        {.checks = {{key, 0}}, .puts = {{key, encodeTombstone()}}},
+        [this, job, callback = std::move(callback)](const Result<CommitVersions> &result) {
+            if (result) {
+                logEvent(EventId::JobCancelled, {{"job", job.value}, {"through", "tombstone"}});
+                callback(failure(ResultCode::JobNotFound, "the store has no such job", job.value));
+            } else if (result.error().code == ResultCode::CheckFailed) {
+                storeCancellationOfStoredJob(job, callback);
+            } else {
+                callback(failure(ResultCode::PlatformUnavailable, result.error().message));
+            }
+        });
+}
+
+void JobFrontend::storeCancellationOfStoredJob(const JobId &job, JobStateCallback callback)
 {
     readState(job, [this, job, callback = std::move(callback)](const Result<JobState> &state) {
         if (!state || isTerminal(*state)) {
--- a/packages/fleet/jobfrontend.h
+++ b/packages/fleet/jobfrontend.h
@@ -67,12 +67,14 @@
     JobFrontend(JobFrontendEnvironment environment, const JobFrontendOptions &options);
 
     /// Stores @p job; repeated submissions of the same id store it only once. Errors: Overloaded if
-    /// the holder rejects it; PlatformUnavailable if it was certainly not stored;
-    /// WriteOutcomeUnknown if that is not known by the end of @p timeout.
+    /// the holder rejects it; JobCancelled if it was cancelled before it was stored;
+    /// PlatformUnavailable if it was certainly not stored; WriteOutcomeUnknown if that is not known
+    /// by the end of @p timeout.
     void submit(JobSpec job, Duration timeout, SubmitCallback callback);
     /// Errors: JobNotFound, PlatformUnavailable.
     void queryState(const JobId &job, JobStateCallback callback);
-    /// Calls back once the cancellation is durable. Errors: JobNotFound, PlatformUnavailable.
+    /// Calls back once the cancellation is durable. Errors: JobNotFound, PlatformUnavailable. After
+    /// JobNotFound, a submission that is still in progress cannot store the job any more.
     void cancel(const JobId &job, JobStateCallback callback);
     /// Errors: PlatformUnavailable if no holder answers.
     void countPendingJobs(const std::string &queue, PendingCallback callback);
@@ -94,6 +96,7 @@
                      const Result<CommitVersions> &result);
     void onStored(const std::shared_ptr<Submission> &submission,
                   const Result<CommitVersions> &result);
+    void readExistingRow(const std::shared_ptr<Submission> &submission);
     void completeSubmission(const std::shared_ptr<Submission> &submission,
                             const Result<void> &result);
     void notifyHolder(const JobSpec &job);
@@ -101,6 +104,7 @@
                     std::function<void(Result<ForwardedAnswer>)> callback);
     void readState(const JobId &job, JobStateCallback callback);
     void storeCancellation(const JobId &job, JobStateCallback callback);
+    void storeCancellationOfStoredJob(const JobId &job, JobStateCallback callback);
     void queryOrCancel(FleetHolder &holder, const JobId &job, bool cancelling,
                        JobStateCallback callback);
 
--- a/packages/fleet/jobfrontend_test.cpp
+++ b/packages/fleet/jobfrontend_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <future>
+#include <utility>
 
 using namespace acaciadeal;
 
@@ -30,6 +31,9 @@
     Duration delay{0};
     bool refuses = false;
     bool losesAnswers = false;
+    /// Whether the next write gets no answer and is executed by executeHeldWrite().
+    bool holdsNextWrite = false;
+    Transaction heldWrite;
     int commits = 0;
     int inFlight = 0;
     /// Largest number of writes that were in progress at the same time.
@@ -69,6 +73,13 @@
             });
             return;
         }
+        if (std::exchange(holdsNextWrite, false)) {
+            heldWrite = std::move(transaction);
+            loop.postAfter(milliseconds(100), [callback = std::move(callback)] {
+                callback(failure(ResultCode::WriteOutcomeUnknown, "no answer"));
+            });
+            return;
+        }
         maxInFlight = std::max(maxInFlight, ++inFlight);
         store.commit(std::move(transaction),
                      [this, callback = std::move(callback)](const Result<CommitVersions> &result) {
@@ -110,6 +121,40 @@
         return codes;
     }
 
+    /// Returns whether the held write took effect.
+    bool executeHeldWrite()
+    {
+        std::promise<bool> stored;
+        store.commit(heldWrite, [&stored](const Result<CommitVersions> &result) {
+            stored.set_value(result.has_value());
+        });
+        return stored.get_future().get();
+    }
+
+    /// Returns the code of the answer to a cancellation.
+    ResultCode cancel(const std::string &id)
+    {
+        return codeOf(&JobFrontend::cancel, id);
+    }
+
+    /// Returns the code of the answer to a query.
+    ResultCode query(const std::string &id)
+    {
+        return codeOf(&JobFrontend::queryState, id);
+    }
+
+    ResultCode codeOf(void (JobFrontend::*call)(const JobId &, JobStateCallback),
+                      const std::string &id)
+    {
+        std::promise<ResultCode> code;
+        loop.post([&] {
+            (frontend.get()->*call)({id}, [&code](const Result<JobState> &state) {
+                code.set_value(state ? ResultCode::Ok : state.error().code);
+            });
+        });
+        return code.get_future().get();
+    }
+
     std::size_t storedJobs()
     {
         std::promise<std::size_t> n;
@@ -192,3 +237,34 @@
     CHECK(fixture.commits == 8);
     CHECK(fixture.storedJobs() == 8);
 }
+
+// Guards against a job that runs although its caller was told that it does not exist: the store
+// executes the write of the job late. Review, case 5.
+TEST_CASE("a job that is cancelled before its write is executed is never stored")
+{
+    FrontendFixture fixture;
+    fixture.holdsNextWrite = true;
+    CHECK(fixture.submit({"j"}, milliseconds(100)) == std::vector{ResultCode::WriteOutcomeUnknown});
+    CHECK(fixture.cancel("j") == ResultCode::JobNotFound);
+    CHECK_FALSE(fixture.executeHeldWrite());
+    CHECK(fixture.query("j") == ResultCode::JobNotFound);
+    CHECK(fixture.cancel("j") == ResultCode::JobNotFound);
+    CHECK(fixture.submit({"j"}) == std::vector{ResultCode::JobCancelled});
+}
+
+// Guards against answering a cancellation before anything prevents the job from being stored.
+TEST_CASE("a cancellation of an unknown job is not answered while the store refuses writes")
+{
+    FrontendFixture fixture;
+    fixture.refuses = true;
+    CHECK(fixture.cancel("j") == ResultCode::PlatformUnavailable);
+}
+
+TEST_CASE("a job that was stored before its cancellation is cancelled")
+{
+    FrontendFixture fixture;
+    CHECK(fixture.submit({"j"}) == std::vector{ResultCode::Ok});
+    CHECK(fixture.cancel("j") == ResultCode::Ok);
+    CHECK(fixture.query("j") == ResultCode::Ok);
+    CHECK(fixture.submit({"j"}) == std::vector{ResultCode::Ok});
+}
--- a/packages/fleet/jobrows.cpp
+++ b/packages/fleet/jobrows.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr const char *cancelSuffix = "!cancel";
+/// Not valid JSON, so that no encoded job has this value.
+constexpr const char *tombstoneValue = "cancelled before it was stored";
 
 } // namespace
 
@@ -24,6 +26,27 @@
     return std::string(progressTable) + "/" + job.value;
 }
 
+std::string encodeTombstone()
+{
+    return tombstoneValue;
+}
+
+bool isTombstone(const std::string &value)
+{
+    return value == tombstoneValue;
+}
+
+std::vector<JobId> tombstones(const std::vector<Row> &jobRows)
+{
+    std::vector<JobId> ids;
+    for (const Row &row : jobRows) {
+        if (isTombstone(row.value)) {
+            ids.push_back({row.key.substr(jobRowKey({}).size())});
+        }
+    }
+    return ids;
+}
+
 std::vector<StoredJob> joinJobRows(const std::vector<Row> &jobRows,
                                    const std::vector<Row> &progressRows,
                                    std::vector<Error> &ignored)
@@ -40,7 +63,7 @@
     }
     std::vector<StoredJob> jobs;
     for (const Row &row : jobRows) {
-        if (row.key.ends_with(cancelSuffix)) {
+        if (row.key.ends_with(cancelSuffix) || isTombstone(row.value)) {
             continue;
         }
         auto spec = decodeJob(row.value);
--- a/packages/fleet/jobrows.h
+++ b/packages/fleet/jobrows.h
@@ -17,6 +17,13 @@
 std::string cancelRowKey(const JobId &job);
 std::string progressRowKey(const JobId &job);
 
+/// Value of a job row that a cancellation wrote because there was no row. A write of the job that
+/// is still in progress then fails, because it requires that the row is absent.
+std::string encodeTombstone();
+bool isTombstone(const std::string &value);
+/// Returns the ids of the jobs whose rows are tombstones.
+std::vector<JobId> tombstones(const std::vector<Row> &jobRows);
+
 /// Tables of these rows; cancellations are in the job table.
 inline constexpr const char *jobTable = "job";
 inline constexpr const char *progressTable = "progress";
@@ -31,8 +38,8 @@
     bool cancelled = false;
 };
 
-/// Joins the rows of both tables by job. For each row that cannot be decoded an error is added to
-/// @p ignored.
+/// Joins the rows of both tables by job; skips tombstones. For each row that cannot be decoded an
+/// error is added to @p ignored.
 std::vector<StoredJob> joinJobRows(const std::vector<Row> &jobRows,
                                    const std::vector<Row> &progressRows,
                                    std::vector<Error> &ignored);
