Skip, log and count one bad entry of a list that others write

Another operator reported that one odd entry among those of the hosts ended the processes that read the list, or made them stop following it.

Here, rows that are deeply nested, have a number beyond a double or a port out of range were ignored before, and no process ended.

--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -260,6 +260,12 @@
                 respond(statusPage(path, statusInputs()));
                 return;
             }
+            for (const EventInfo &info : eventCatalogue()) {
+                if (const std::uint64_t n = eventCount(info.id); n > 0) {
+                    metrics.set("fleet_log_events", {{"event", std::string(info.name)}},
+                                static_cast<double>(n));
+                }
+            }
             respond(
                 {statusOk, {{"content-type", "text/plain; version=0.0.4"}}, metrics.exposition()});
         });
--- a/packages/fleet/internal/roster.cpp
+++ b/packages/fleet/internal/roster.cpp
@@ -33,8 +33,12 @@
         return hosts;
     }
     for (const auto &[id, value] : j.items()) {
-        if (const auto endpoint = parseEndpoint(value.get<std::string>())) {
+        const auto endpoint = parseEndpoint(value.is_string() ? value.get<std::string>() : "");
+        if (endpoint) {
             hosts[{id}] = *endpoint;
+        } else {
+            logEvent(EventId::RowIgnored,
+                     {{"row", rosterKey}, {"reason", "host " + id + " has no valid address"}});
         }
     }
     return hosts;
--- a/packages/logging/log.cpp
+++ b/packages/logging/log.cpp
@@ -15,6 +15,7 @@
 #include <sstream>
 #include <string>
 #include <unistd.h>
+#include <vector>
 
 namespace acaciadeal {
 namespace {
@@ -150,6 +151,12 @@
 /// Appender in use, owned by the logger; null before openLog().
 std::atomic<NonBlockingAppender *> openedAppender = nullptr;
 
+std::atomic<std::uint64_t> &counterOf(EventId id)
+{
+    static std::vector<std::atomic<std::uint64_t>> counters(eventCatalogue().size());
+    return counters[static_cast<std::size_t>(&eventInfo(id) - eventCatalogue().data())];
+}
+
 void appendFieldValue(std::string &line, const std::string &value)
 {
     if (!value.empty() && value.find_first_of(" \"\n") == std::string::npos) {
@@ -193,6 +200,7 @@
 
 void logEvent(EventId id, std::initializer_list<LogField> fields)
 {
+    ++counterOf(id);
     if (!isOpen) {
         return;
     }
@@ -209,4 +217,9 @@
     rootLogger().log(levelOf(info.severity), line);
 }
 
+std::uint64_t eventCount(EventId id)
+{
+    return counterOf(id);
+}
+
 } // namespace acaciadeal
--- a/packages/logging/log.h
+++ b/packages/logging/log.h
@@ -3,6 +3,7 @@
 
 #include "base/event.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -31,6 +32,10 @@
 /// or contains a space, quote or newline is quoted. Thread-safe. Does nothing before openLog().
 void logEvent(EventId id, std::initializer_list<LogField> fields = {});
 
+/// Returns how often logEvent() was called with @p id in this process, whether or not the line was
+/// written. Thread-safe.
+std::uint64_t eventCount(EventId id);
+
 /// Writes the buffered lines, unless the output is full. To be called periodically and before the
 /// process ends. Thread-safe.
 void flushLog();
--- a/packages/logging/log_test.cpp
+++ b/packages/logging/log_test.cpp
@@ -89,3 +89,13 @@
     CHECK(text.find("TaskOrdered task=2999") == std::string::npos);
     CHECK(text.find("FleetStatus hosts=3") != std::string::npos);
 }
+
+TEST_CASE("events are counted, also while no log is open")
+{
+    const std::uint64_t before = eventCount(EventId::RowIgnored);
+    const std::uint64_t others = eventCount(EventId::FrameRefused);
+    logEvent(EventId::RowIgnored);
+    logEvent(EventId::RowIgnored, {{"row", "a"}});
+    CHECK(eventCount(EventId::RowIgnored) == before + 2);
+    CHECK(eventCount(EventId::FrameRefused) == others);
+}
