Give the soak scarce connections, full lists of ends, odd host rows and denied cancellations

Hosts now accept 24 connections and list 500 ends; the holder is killed while the hosts keep its connections; 500 ends of a forgotten job come before others; another writer leaves odd host rows. A refused connection and a start after a cancellation that was answered with 410 are violations. The new faults have a random generator of their own.

--- a/tests/soak/hoststandin.cpp
+++ b/tests/soak/hoststandin.cpp
@@ -18,6 +18,12 @@
 constexpr std::int64_t maxLeaseMs = 6000;
 constexpr int minOrderDelayMs = 2000;
 constexpr int orderDelaySpreadMs = 3000;
+/// Connections that a host accepts from all daemons together. Fewer than the 64 of the users'
+/// hosts, because a run has fewer daemons and changes of the holder.
+constexpr std::size_t maxConnections = 24;
+/// Number of ends in one answer.
+constexpr std::size_t maxEndsPerAnswer = 500;
+constexpr const char *forgottenJob = "f0f0f0f0f0f0f0f0";
 /// Share of the runs whose task fails by itself.
 constexpr double failureShare = 0.03;
 
@@ -30,7 +36,9 @@
     , m_checker(checker)
     , m_options(std::move(options))
     , m_server(std::make_unique<standins::FaultyServer>(
-          loop, standins::FaultyServerOptions{.listen = {"127.0.0.1", 0}},
+          loop,
+          standins::FaultyServerOptions{.listen = {"127.0.0.1", 0},
+                                        .maxConnections = maxConnections},
           [this](const HttpRequest &request, const std::string &,
                  const standins::FaultyResponder &respond) { serve(request, respond); }))
     , m_lastTickAt(std::chrono::steady_clock::now())
@@ -57,6 +65,10 @@
     return {{"service", m_options.service},
             {"address", toString(address)},
             {"zone", m_options.failureDomain},
+            {"version", "1"},
+            {"slots", 8},
+            {"sequence", 1},
+            {"cold_remaining_ms", 0},
             {"state", leaving ? "draining" : "ready"},
             {"labels", {"a", "r1-1"}},
             {"capacity", {{"cpu", m_options.milliCores}, {"requested_memory_mb", 64000}}},
@@ -89,6 +101,22 @@
     m_stalled = stalled;
 }
 
+void HostStandin::fillEndList()
+{
+    for (std::size_t n = 0; n < maxEndsPerAnswer; ++n) {
+        m_unacknowledgedEnds.push_back(
+            {.number = ++m_endCount,
+             .task = std::string(forgottenJob) + ".0.0." + std::to_string(++m_forgottenRuns),
+             .run = 1,
+             .outcome = "done"});
+    }
+}
+
+std::size_t HostStandin::refusedConnections() const
+{
+    return m_server->refusedConnections();
+}
+
 std::string HostStandin::bootName() const
 {
     return m_options.id + "/" + std::to_string(m_bootTimeMs);
@@ -224,7 +252,8 @@
     m_fencingToken = token;
     const std::uint64_t lastSeen = call.at("last_seen");
     for (const RunEnd &ended : m_unacknowledgedEnds) {
-        if (ended.number <= lastSeen && !ended.lapsedAfterEnd) {
+        if (ended.number <= lastSeen && !ended.lapsedAfterEnd
+            && !ended.task.starts_with(forgottenJob)) {
             m_checker.onEndAcknowledged(ended.task, ended.run, ended.outcome);
         }
     }
@@ -249,7 +278,9 @@
     }
     json finished = json::array();
     for (const RunEnd &ended : m_unacknowledgedEnds) {
-        finished.push_back({ended.number, ended.task, ended.run, ended.outcome, ""});
+        if (finished.size() < maxEndsPerAnswer) {
+            finished.push_back({ended.number, ended.task, ended.run, ended.outcome, ""});
+        }
     }
     respond(answer({{"active", active}, {"finished", finished}, {"born", m_bootTimeMs}}));
 }
--- a/tests/soak/hoststandin.h
+++ b/tests/soak/hoststandin.h
@@ -51,6 +51,11 @@
     void setDelayedOrderShare(double share);
     /// While set, tasks make no progress.
     void setStalled(bool stalled);
+    /// Adds so many ends of runs of a forgotten job to the list of unacknowledged ends that the
+    /// next ones do not fit into the same answer.
+    void fillEndList();
+    /// Returns how many connections were closed because of the limit.
+    std::size_t refusedConnections() const;
 
 private:
     struct Run
@@ -96,6 +101,7 @@
     std::map<TaskName, Run> m_active;
     std::map<TaskName, std::uint64_t> m_highestEndedRun;
     std::vector<RunEnd> m_unacknowledgedEnds;
+    int m_forgottenRuns = 0;
     std::uint64_t m_endCount = 0;
     double m_delayedOrderShare = 0;
     bool m_stalled = false;
--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -50,6 +50,10 @@
         return;
     }
     it->second.started = true;
+    if (it->second.deniedAfterCancel) {
+        reportViolation("UNASKED",
+                        what + " started after its cancellation was answered with \"no such job\"");
+    }
     TaskRecord &record = m_tasks[task];
     for (const auto &[other, where] : record.active) {
         std::string text = what;
--- a/tests/soak/invariantchecker.h
+++ b/tests/soak/invariantchecker.h
@@ -31,6 +31,8 @@
     /// Whether an attempt ended without an answer that rules out that the job was accepted.
     bool possiblyAccepted = false;
     bool cancelled = false;
+    /// Whether a cancellation was answered with "no such job", so that the job may never run.
+    bool deniedAfterCancel = false;
     bool completed = false;
     bool failed = false;
     bool started = false;
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -27,16 +27,10 @@
         , server(context)
     {
     }
-    void close()
-    {
-        boost::system::error_code ec;
-        client.close(ec);
-        server.close(ec);
-    }
-
     tcp::socket client;
     tcp::socket server;
     bool blackholed = false;
+    bool hidesClosedClient = false;
 };
 
 } // namespace
@@ -62,6 +56,7 @@
     };
 
     void accept();
+    void close(const std::shared_ptr<Connection> &connection);
     void connect(const std::shared_ptr<Connection> &connection);
     void read(const std::shared_ptr<Pump> &pump);
     void forward(const std::shared_ptr<Pump> &pump, Duration forwardDelay);
@@ -71,8 +66,21 @@
     tcp::acceptor acceptor;
     LinkFault fault;
     std::vector<std::weak_ptr<Connection>> connections;
+    /// Connections whose client is gone and whose server does not know.
+    std::vector<std::shared_ptr<Connection>> halfOpen;
 };
 
+void Proxy::Impl::close(const std::shared_ptr<Connection> &connection)
+{
+    boost::system::error_code ec;
+    connection->client.close(ec);
+    if (connection->hidesClosedClient) {
+        halfOpen.push_back(connection);
+    } else {
+        connection->server.close(ec);
+    }
+}
+
 void Proxy::Impl::accept()
 {
     acceptor.async_accept(
@@ -97,7 +105,7 @@
     connection->server.async_connect(
         server, [self = shared_from_this(), connection](boost::system::error_code ec) {
             if (ec) {
-                connection->close();
+                self->close(connection);
                 return;
             }
             connection->client.set_option(tcp::no_delay(true), ec);
@@ -119,7 +127,7 @@
         asio::buffer(pump->buffer),
         [self = shared_from_this(), pump](boost::system::error_code ec, std::size_t n) {
             if (ec) {
-                pump->connection->close();
+                self->close(pump->connection);
                 return;
             }
             pump->size = n;
@@ -143,7 +151,7 @@
         asio::async_write(*pump->to, asio::buffer(pump->buffer.data(), pump->size),
                           [self, pump](boost::system::error_code ec, std::size_t) {
                               if (ec) {
-                                  pump->connection->close();
+                                  self->close(pump->connection);
                                   return;
                               }
                               self->read(pump);
@@ -177,7 +185,18 @@
             boost::system::error_code ec;
             // With a linger time of 0, close() sends a TCP reset.
             connection->client.set_option(asio::socket_base::linger(true, 0), ec);
-            connection->close();
+            connection->hidesClosedClient = false;
+            m_impl->close(connection);
+        }
+    }
+    m_impl->halfOpen.clear();
+}
+
+void Proxy::setHidesClosedClients(bool hides)
+{
+    for (const auto &entry : m_impl->connections) {
+        if (const auto connection = entry.lock()) {
+            connection->hidesClosedClient = hides && connection->client.is_open();
         }
     }
 }
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -32,11 +32,16 @@
 
     Endpoint endpoint() const;
     void setFault(const LinkFault &fault);
-    /// Closes all open connections; the client sides are reset.
+    /// Closes all open connections, those of setHidesClosedClients() included; the client sides are
+    /// reset.
     void resetConnections();
     /// Permanently discards all further data on the connections that are open now, without closing
     /// or resetting them. New connections work normally.
     void blackholeOpenConnections();
+    /// While set, the server does not learn that a client closes one of the connections that were
+    /// open when this was set: the client's machine has lost power. The server keeps them until
+    /// resetConnections().
+    void setHidesClosedClients(bool hides);
 
     /// Defined in the source file.
     struct Impl;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -6,6 +6,7 @@
 #include "soak/proxy.h"
 #include "soak/tablestandin.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -43,6 +44,9 @@
 constexpr Duration submitPeriod = milliseconds(120);
 constexpr Duration pollPeriod = milliseconds(600);
 constexpr Duration callTimeout = milliseconds(3000);
+/// With up to five connections of each holder, as many as leave some of a host's connections free.
+constexpr int maxPowerLosses = 3;
+constexpr int oddRowDepth = 2000;
 constexpr int maxAttempts = 4;
 /// Attempts to submit a job, as many as the users' callers make.
 constexpr int maxSubmitAttempts = 5;
@@ -121,6 +125,9 @@
                              const HttpOutcome &outcome);
 
     void injectNextFault();
+    void injectNextScarcity();
+    void losePowerOfHolder();
+    void addOddHostRow();
     void injectDaemonFault();
     void injectHostFault();
     void injectStoreFault();
@@ -130,6 +137,9 @@
 
     SoakOptions m_options;
     std::mt19937_64 m_random;
+    /// Generator of the faults of injectNextScarcity(), so that they do not change the other ones.
+    std::mt19937_64 m_scarcityRandom{m_options.seed};
+    int m_powerLosses = 0;
     EventLoop m_loop{{.threads = 1}};
     failure_tests::TemporaryFolder m_folder;
     InvariantChecker m_checker;
@@ -380,9 +390,11 @@
     m_client.send(daemon.endpoint(), jobRequest("DELETE", id), {.timeout = callTimeout},
                   [this, id](const HttpOutcome &outcome) {
                       const unsigned status = outcome.response ? outcome.response->status : 0;
-                      // Without status 200 the job is not known to be cancelled; it may not have
-                      // been accepted yet.
-                      if (status != 200 && !m_finished) {
+                      if (status == 410) {
+                          m_checker.jobs[id].deniedAfterCancel = true;
+                      }
+                      // Without status 200 or 410 the cancellation may not have taken effect.
+                      if (status != 200 && status != 410 && !m_finished) {
                           runAfter(milliseconds(400), [this, id] { cancelJob(id); });
                       }
                   });
@@ -533,12 +545,79 @@
     runAfter(randomDuration(100, 1400), [this] { injectNextFault(); });
 }
 
+/// Kills the holder in such a way that the hosts keep its connections.
+void Soak::losePowerOfHolder()
+{
+    const std::string holder = m_store.holder();
+    const auto it = std::find_if(m_daemons.begin(), m_daemons.end(),
+                                 [&holder](const auto &daemon) { return daemon->name == holder; });
+    if (it == m_daemons.end() || m_powerLosses >= maxPowerLosses) {
+        return;
+    }
+    ++m_powerLosses;
+    logEvent("power loss of " + holder);
+    for (const auto &link : m_hostLinks) {
+        link->setHidesClosedClients(true);
+    }
+    (*it)->process->kill();
+    runAfter(milliseconds(200), [this] {
+        for (const auto &link : m_hostLinks) {
+            link->setHidesClosedClients(false);
+        }
+    });
+}
+
+/// Writes a row that another writer left among those of the hosts.
+void Soak::addOddHostRow()
+{
+    json row = m_hosts.front()->hostRow(m_hostLinks.front()->endpoint(), false);
+    switch (m_scarcityRandom() % 4) {
+    case 0:
+        row["address"] = "127.0.0.1:70000";
+        break;
+    case 1:
+        row["capacity"]["cpu"] = 1e30;
+        break;
+    case 2:
+        row.erase("zone");
+        break;
+    default:
+        for (int n = 0; n < oddRowDepth; ++n) {
+            row = json::array({std::move(row)});
+        }
+    }
+    m_store.put("servers", "odd" + std::to_string(m_scarcityRandom() % 3), row);
+}
+
+/// Injects faults that use up what the daemons share or must not take for complete.
+void Soak::injectNextScarcity()
+{
+    if (!m_submitting) {
+        return;
+    }
+    const std::size_t host = m_scarcityRandom() % m_hosts.size();
+    switch (m_scarcityRandom() % 3) {
+    case 0:
+        losePowerOfHolder();
+        break;
+    case 1:
+        logEvent("fill the list of ends of " + m_hosts[host]->id());
+        m_hosts[host]->fillEndList();
+        break;
+    default:
+        logEvent("write an odd host row");
+        addOddHostRow();
+    }
+    runAfter(milliseconds(1000 + m_scarcityRandom() % 3000), [this] { injectNextScarcity(); });
+}
+
 void Soak::stopDaemonsInTurn(std::size_t n)
 {
     if (n == m_daemons.size()) {
         runAfter(shutdownGracePeriod, [this] {
             m_onlyPlannedRestarts = false;
             injectNextFault();
+            injectNextScarcity();
         });
         return;
     }
@@ -601,6 +680,15 @@
         accepted += job.accepted ? 1 : 0;
         completed += job.completed ? 1 : 0;
     }
+    std::size_t refusedConnections = 0;
+    for (const auto &host : m_hosts) {
+        refusedConnections += host->refusedConnections();
+    }
+    if (refusedConnections > 0) {
+        m_checker.reportViolation("CONNECTIONS", std::to_string(refusedConnections)
+                                                     + " connections were refused by hosts whose"
+                                                       " connections were all in use");
+    }
     std::cout << "seed " << m_options.seed << ": " << m_checker.jobs.size() << " jobs, " << accepted
               << " accepted, " << completed << " completed, " << m_checker.violations.size()
               << " violations" << std::endl;
--- a/tests/soak/tablestandin.cpp
+++ b/tests/soak/tablestandin.cpp
@@ -27,6 +27,14 @@
     return text;
 }
 
+std::string fromBase64(const std::string &text)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string bytes(base64::decoded_size(text.size()), '\0');
+    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+    return bytes;
+}
+
 std::uint64_t parseNumber(const std::string &text)
 {
     return text.empty() ? 0 : std::stoull(text);
@@ -74,6 +82,15 @@
     }
 }
 
+std::string TableStandin::holder() const
+{
+    const auto table = m_tables.find("owner");
+    if (table == m_tables.end() || !table->second.contains("main")) {
+        return {};
+    }
+    return json::parse(fromBase64(table->second.at("main").value)).value("daemon", "");
+}
+
 void TableStandin::dropHistory()
 {
     m_changes.clear();
--- a/tests/soak/tablestandin.h
+++ b/tests/soak/tablestandin.h
@@ -46,6 +46,8 @@
     /// Writes a row on behalf of another client of the store.
     void put(const std::string &table, const std::string &key, const nlohmann::json &value);
     void erase(const std::string &table, const std::string &key);
+    /// Returns the name of the daemon in the owner row; empty if there is none.
+    std::string holder() const;
     /// Discards the change history; feed calls that start before this point get status 410.
     void dropHistory();
 
