--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -44,7 +44,7 @@
 constexpr Duration submitPeriod = milliseconds(120);
 constexpr Duration pollPeriod = milliseconds(600);
 constexpr Duration callTimeout = milliseconds(3000);
-/// With up to five connections of each holder, as many as leave some of a host's connections free.
+/// With up to six connections of each holder, as many as leave some of a host's connections free.
 constexpr int maxPowerLosses = 3;
 constexpr int oddRowDepth = 2000;
 constexpr int maxAttempts = 4;
