Declare the runs of a host lost when another host answers at its address

A host keeps its address for life, so such an answer shows that it is gone, with its runs.

The answer is told apart now (3014 HostReplaced) and ends the wait for the lease. The test in fleet_test needs the new code and does not compile before; it fails if the lease is waited for, by its bound of 4 s.

--- a/packages/base/resultcode.cpp
+++ b/packages/base/resultcode.cpp
@@ -75,6 +75,8 @@
     ResultCodeInfo{ResultCode::NotReady, "NotReady", "The daemon has no configuration yet."},
     ResultCodeInfo{ResultCode::JobCancelled, "JobCancelled",
                    "The job was cancelled before it was stored; it never runs."},
+    ResultCodeInfo{ResultCode::HostReplaced, "HostReplaced",
+                   "Another host has the address of this one, which is gone."},
     ResultCodeInfo{ResultCode::TornEntry, "TornEntry",
                    "A log entry is truncated or fails verification."},
     ResultCodeInfo{ResultCode::RepeatedEntry, "RepeatedEntry",
--- a/packages/base/resultcode.h
+++ b/packages/base/resultcode.h
@@ -53,6 +53,7 @@
     QueueNotFound = 3011,
     NotReady = 3012,
     JobCancelled = 3013,
+    HostReplaced = 3014,
 
     TornEntry = 4001,
     RepeatedEntry = 4002,
--- a/packages/fleet/fakehosts.cpp
+++ b/packages/fleet/fakehosts.cpp
@@ -104,6 +104,12 @@
         });
         return;
     }
+    if (host.replaced) {
+        m_loop.post([callback = std::move(callback)] {
+            callback(failure(ResultCode::HostReplaced, "another host has the address"));
+        });
+        return;
+    }
     expireLease(host);
     if (call.token < host.token) {
         m_loop.post([callback = std::move(callback)] {
--- a/packages/fleet/fakehosts.h
+++ b/packages/fleet/fakehosts.h
@@ -21,6 +21,8 @@
     std::uint64_t token = 0;
     std::uint64_t lastEndNumber = 0;
     bool unresponsive = false;
+    /// Whether another host has the address.
+    bool replaced = false;
     /// Delay of the answer to a renewal.
     Duration answerDelay{0};
     /// Whether start orders are executed but get no answer.
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -84,6 +84,7 @@
     std::optional<Duration> changesTimeout;
     /// Whether reads of changed jobs fail because the store has dropped the history of changes.
     bool historyLost = false;
+    milliseconds hostLease = lease;
     Duration readJobsEvery = milliseconds(50);
     Duration catchUpTimeout = testTimeout;
     /// Job whose rows are removed after the next read of the job or progress table.
@@ -200,7 +201,7 @@
                                            }},
                 FleetHolderOptions{.epoch = static_cast<std::uint64_t>(epoch),
                                    .previousStoppedAt = bootClockNow() - stoppedAgo,
-                                   .lease = lease,
+                                   .lease = hostLease,
                                    .renewalWait = milliseconds(50),
                                    .hostTimeout = milliseconds(40),
                                    .renewalRetryDelay = renewalRetryDelay,
@@ -456,6 +457,26 @@
     CHECK(maxActive == 1);
 }
 
+// Guards against tasks that wait for the lease of a host although it is known to be gone.
+TEST_CASE("the task of a host whose address another host has starts elsewhere at once")
+{
+    Cluster cluster(2);
+    // Long enough that the test fails if the lease is waited for.
+    cluster.hostLease = milliseconds(8000);
+    cluster.startHolder(1);
+    cluster.submit(oneTaskJob("j"));
+    REQUIRE(cluster.waitUntilRunning("j"));
+    const std::string gone = cluster.hostOf("j");
+    const TimePoint goneAt = bootClockNow();
+    cluster.runOnLoop([&] {
+        cluster.hosts.host(gone).active.clear();
+        cluster.hosts.host(gone).replaced = true;
+    });
+    REQUIRE(cluster.waitUntilRunning("j"));
+    CHECK(cluster.hostOf("j") != gone);
+    CHECK(bootClockNow() - goneAt < cluster.hostLease / 2);
+}
+
 // Guards against a second run after a start order that was executed but whose answer was lost.
 TEST_CASE("a run whose start was not answered is adopted")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -540,6 +540,11 @@
         return;
     }
     ++link.failures;
+    if (error.code == ResultCode::HostReplaced && now < link.leaseEnd) {
+        // Nothing runs on a host that is gone, so that its lease need not be waited for. Its runs
+        // are declared lost in the next tick.
+        link.leaseEnd = now;
+    }
     if (std::exchange(host.reachable, false) || link.failures == 1) {
         logEvent(EventId::HostUnreachable, {{"host", link.id.value}, {"reason", error.message}});
     }
--- a/packages/fleet/hostclient.h
+++ b/packages/fleet/hostclient.h
@@ -35,7 +35,7 @@
 
 using StartCallback = std::function<void(StartOutcome, std::string detail)>;
 using OrderCallback = std::function<void(Result<void>)>;
-/// Receives the host's report. Errors: StaleEpoch if the host has seen a higher token, HostUnusable
+/// Receives the host's report. Errors: StaleEpoch if the host has seen a higher token, HostReplaced
 /// if a host with another id has the address, NotHandedOver if the call was not sent because
 /// earlier ones occupy all connections, or the error of the connection.
 using ReportCallback = std::function<void(Result<HostReport>)>;
