Keep room in a full fleet for long-running tasks that lost their hosts

Tasks that never ran came first by their objectives, thousands of them overdue, and took the new hosts before the lost tasks were overdue themselves; later room came in pieces, which short tasks took while the restarts waited for two places in a view that is up to a second old.

Overdue restarts now come before overdue tasks that never ran. Those leave the processors that waiting restarts need, for at most 9 s each, and a restart takes the first place after 4.5 s. TaskWaits names the new rule, restart_room.

Two of the three tests fail with dispatcher.cpp of before; the third guards the bound of the reserve.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -415,11 +415,16 @@
 void startTask(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
                FleetHost &host, Orders &orders, TimePoint now)
 {
+    // The processors that restarts need are not in the spare ones.
+    const bool isRestart = stepOf(job, key).longRunning && task.run > 0;
     task.run = std::max(task.run, dispatcher.fleet.runNumberBase) + 1;
     task.startedFromScratch = task.checkpoint.empty();
     task.phase = TaskPhase::Starting;
     task.host = host.id;
     const Duration waited = now - task.phaseSince;
+    if (!isRestart && !stepOf(job, key).backfill) {
+        dispatcher.fleet.spareBesidesRestarts -= stepOf(job, key).taskSize.milliCores;
+    }
     task.phaseSince = now;
     task.progressedAt = now;
     --job.steps[key.step].waiting;
@@ -438,7 +443,13 @@
 }
 
 /// Selects the waiting tasks of a step that may start.
-enum class StartRule : std::uint8_t { OverdueOnly, Any };
+enum class StartRule : std::uint8_t {
+    /// Overdue long-running tasks that ran before.
+    Restart,
+    /// Overdue long-running tasks, as far as waiting restarts leave room.
+    OverdueOnly,
+    Any,
+};
 
 bool mayStart(const Dispatcher &dispatcher, const JobRuntime &job, const StepSpec &step,
               const TaskRuntime &task, StartRule rule, RoomCache &roomCache, TimePoint now)
@@ -446,8 +457,15 @@
     if (task.phase != TaskPhase::Waiting || now < task.notBefore) {
         return false;
     }
+    const Duration waited = now - task.phaseSince;
+    if (rule == StartRule::Restart) {
+        return task.run > 0 && isOverdue(waited)
+               && (isRestartUrgent(waited)
+                   || hasRoomForTwo(dispatcher.fleet, roomCache, job.spec.terms.service, step));
+    }
     if (rule == StartRule::OverdueOnly) {
-        return isOverdue(now - task.phaseSince)
+        return isOverdue(waited)
+               && dispatcher.fleet.spareBesidesRestarts >= step.taskSize.milliCores
                && hasRoomForTwo(dispatcher.fleet, roomCache, job.spec.terms.service, step);
     }
     return !step.longRunning || leavesRoomForUrgentTasks(dispatcher.fleet, step);
@@ -687,10 +705,17 @@
     stopRelocatingTasks(dispatcher, orders, now);
     updateUrgentDemand(dispatcher.fleet, now);
     preparePlacementRound(dispatcher.fleet);
+    updateRestartDemand(dispatcher.fleet, now);
     RoomCache roomCache;
     const std::vector<ReadyStep> steps = isHostListOld(dispatcher, now)
                                              ? std::vector<ReadyStep>()
                                              : readySteps(dispatcher.fleet, now);
+    for (const ReadyStep &ready : steps) {
+        if (ready.job->spec.steps[ready.step].longRunning
+            && hasOverdueRestart(ready.job->steps[ready.step], now)) {
+            startStep(dispatcher, ready, StartRule::Restart, roomCache, orders, now);
+        }
+    }
     for (const ReadyStep &ready : steps) {
         if (ready.job->spec.steps[ready.step].longRunning) {
             startStep(dispatcher, ready, StartRule::OverdueOnly, roomCache, orders, now);
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -425,6 +425,85 @@
     CHECK_FALSE(plan(dispatcher, at(300)).starts.empty());
 }
 
+// Guards against long-running tasks that stay away in a full fleet: a part of the hosts is
+// replaced, and thousands of tasks that never ran wait longer and take the new ones. Review,
+// case 4.
+TEST_CASE("long-running tasks that lost their host start before those that never ran")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h", 8000);
+    StepSpec lasting = step(1, 2000);
+    lasting.longRunning = true;
+    lasting.tailLatencyTarget = milliseconds(100);
+    JobSpec lost = job("lost", {step(4, 2000)});
+    lost.steps[0].longRunning = true;
+    lost.steps[0].tailLatencyTarget = milliseconds(100);
+    add(dispatcher, lost, at(10));
+    REQUIRE(startAll(dispatcher, at(20)).starts.size() == 4);
+    // Their objectives are earlier, and they are overdue. The short task raises the peak demand.
+    for (int n = 0; n < 8; ++n) {
+        add(dispatcher, job("new" + std::to_string(n), {lasting}), at(0));
+    }
+    add(dispatcher, job("short", {step(1, 8000)}), at(0));
+    CHECK(plan(dispatcher, at(6000)).starts.empty());
+    REQUIRE(cancelJob(dispatcher, {"short"}, at(6050)));
+    declareRunsLost(dispatcher, {"h"}, "the host was replaced", at(6100));
+    CHECK(plan(dispatcher, at(6110)).starts.empty());
+    const Orders overdue = plan(dispatcher, at(8700));
+    // The last place is not taken before the restart is urgent.
+    REQUIRE(overdue.starts.size() == 3);
+    for (const StartRun &order : overdue.starts) {
+        CHECK(order.task.job.value == "lost");
+    }
+    const Orders urgent = plan(dispatcher, at(10700));
+    REQUIRE(urgent.starts.size() == 1);
+    CHECK(urgent.starts[0].task.job.value == "lost");
+}
+
+// Guards against tasks that never start because the restart of a task that fits nowhere waits.
+TEST_CASE("free processors are not kept for a restart that finds no place")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1", 8000);
+    addHost(dispatcher, "h2", 4000);
+    JobSpec large = job("large", {step(1, 8000)});
+    large.steps[0].longRunning = true;
+    add(dispatcher, large, at(0));
+    REQUIRE(startAll(dispatcher, at(10)).starts.size() == 1);
+    declareRunsLost(dispatcher, {"h1"}, "the host does not answer", at(100));
+    dispatcher.fleet.hosts[{"h1"}].reachable = false;
+    StepSpec lasting = step(1, 2000);
+    lasting.longRunning = true;
+    lasting.tailLatencyTarget = milliseconds(100);
+    add(dispatcher, job("new", {lasting}), at(100));
+    // The peak demand of short tasks leaves the new task only the room of overdue ones.
+    add(dispatcher, job("short", {step(1, 4500)}), at(100));
+    CHECK(plan(dispatcher, at(3000)).starts.empty());
+    const Orders later = plan(dispatcher, at(9200));
+    REQUIRE(later.starts.size() == 1);
+    CHECK(later.starts[0].task.job.value == "new");
+}
+
+// Guards against an overdue restart that waits for room for two while short tasks take each place.
+TEST_CASE("an urgent restart takes the only place before a short task")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1", 2000);
+    addHost(dispatcher, "h2", 2000);
+    JobSpec lost = job("lost", {step(2, 2000)});
+    lost.steps[0].longRunning = true;
+    add(dispatcher, lost, at(0));
+    REQUIRE(startAll(dispatcher, at(10)).starts.size() == 2);
+    declareRunsLost(dispatcher, {"h1"}, "the host does not answer", at(100));
+    dispatcher.fleet.hosts[{"h1"}].reachable = false;
+    CHECK(plan(dispatcher, at(110)).starts.empty());
+    add(dispatcher, job("short", {step(1, 2000)}), at(4900));
+    dispatcher.fleet.hosts[{"h1"}].reachable = true;
+    const Orders orders = plan(dispatcher, at(5000));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].task.job.value == "lost");
+}
+
 // Guards against starting tasks that may still be running on a host that has not reported.
 TEST_CASE("tasks of a recovered job wait until the recovery ends")
 {
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -189,6 +189,9 @@
     /// Processors that long-running tasks may still take in the current scheduling round; see
     /// updateUrgentDemand().
     double longRunningSpareMilliCores = 0;
+    /// Free processors of the current scheduling round beyond those that waiting restarts of
+    /// long-running tasks need; see updateRestartDemand().
+    std::int64_t spareBesidesRestarts = 0;
     /// Backfill work in core-seconds of jobs that were admitted and are being stored.
     std::map<JobId, double> pendingJobWork;
     /// Jobs that are not in a terminal state.
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -17,6 +17,12 @@
 /// Wait after which a long-running task may use room that is reserved for short tasks. The
 /// requirement allows it 6 s without a run, and 3 s more while there is room.
 constexpr Duration overdueAfter = milliseconds(2500);
+/// Wait after which a restart no longer waits for room for two. Users see room for two before the
+/// holder does, whose reports are up to a second old in a full fleet.
+constexpr Duration restartUrgentAfter = milliseconds(4500);
+/// Wait up to which free processors are kept for a restart. One that has not started by then needs
+/// a larger place than there is.
+constexpr Duration restartReserveTime = std::chrono::seconds(9);
 
 enum class Lateness : std::uint8_t { InTime, Late, TooLate };
 
@@ -125,6 +131,40 @@
     }
 }
 
+void updateRestartDemand(FleetState &fleet, TimePoint now)
+{
+    fleet.spareBesidesRestarts = 0;
+    for (const FleetHost *const host : fleet.usableHosts) {
+        fleet.spareBesidesRestarts += std::max<std::int64_t>(freeResources(*host).milliCores, 0);
+    }
+    for (const JobRuntime *const job : fleet.liveJobs) {
+        for (std::size_t n = 0; n < job->steps.size(); ++n) {
+            const StepSpec &spec = job->spec.steps[n];
+            if (!spec.longRunning || job->steps[n].waiting == 0) {
+                continue;
+            }
+            for (const TaskRuntime &task : job->steps[n].tasks) {
+                if (task.phase == TaskPhase::Waiting && task.run > 0
+                    && now - task.phaseSince < restartReserveTime) {
+                    fleet.spareBesidesRestarts -= spec.taskSize.milliCores;
+                }
+            }
+        }
+    }
+}
+
+bool hasOverdueRestart(const StepRuntime &step, TimePoint now)
+{
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [now](const TaskRuntime &task) {
+        return task.phase == TaskPhase::Waiting && task.run > 0 && isOverdue(now - task.phaseSince);
+    });
+}
+
+bool isRestartUrgent(Duration waited)
+{
+    return waited >= restartUrgentAfter;
+}
+
 bool isOverdue(Duration waited)
 {
     return waited >= overdueAfter;
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -27,11 +27,26 @@
 /// that are left for long-running tasks. Called once before each scheduling round.
 void updateUrgentDemand(FleetState &fleet, TimePoint now);
 
+/// Updates the free processors that restarts of long-running tasks do not need. Called once before
+/// each scheduling round, after preparePlacementRound().
+///
+/// Load pattern: a part of the hosts of a fleet that is full of long-running tasks is replaced, and
+/// thousands of others that never ran wait longer than the tasks that ran there. Without the
+/// reserve, those would take the new hosts first.
+void updateRestartDemand(FleetState &fleet, TimePoint now);
+
 /// Returns whether a long-running task that has waited for @p waited must start before all other
 /// tasks as soon as the fleet has room for two such tasks. It serves users, so each second of
 /// downtime matters. Thread-safe.
 bool isOverdue(Duration waited);
 
+/// Returns whether a task of a long-running step ran before, waits again, and is overdue.
+bool hasOverdueRestart(const StepRuntime &step, TimePoint now);
+
+/// Returns whether the restart of a long-running task that has waited for @p waited must take the
+/// first place that there is. Thread-safe.
+bool isRestartUrgent(Duration waited);
+
 /// Returns whether enough processors for the recent peak of short tasks would remain if a
 /// long-running task of @p step started.
 bool leavesRoomForUrgentTasks(const FleetState &fleet, const StepSpec &step);
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -52,6 +52,8 @@
         return "interference";
     case WaitRule::UrgentRoom:
         return "urgent_room";
+    case WaitRule::RestartRoom:
+        return "restart_room";
     case WaitRule::NextRound:
         return "next_round";
     }
@@ -83,6 +85,8 @@
                "tasks";
     case WaitRule::UrgentRoom:
         return "the free processors are reserved for the recent peak demand of short tasks";
+    case WaitRule::RestartRoom:
+        return "the free processors are kept for long-running tasks that lost their hosts";
     case WaitRule::NextRound:
         return "a host is available; the next scheduling round starts the task";
     }
@@ -123,9 +127,14 @@
         reason.rule = WaitRule::NoSuchHost;
     } else if (reason.suitableHosts == 0) {
         reason.rule = ruleFor(hosts);
-    } else if (spec.longRunning && !leavesRoomForUrgentTasks(fleet, spec)
-               && !(isOverdue(reason.waited) && reason.places >= 2)) {
-        reason.rule = WaitRule::UrgentRoom;
+    } else if (spec.longRunning && !leavesRoomForUrgentTasks(fleet, spec)) {
+        const bool isRestart = task.run > 0;
+        if (!isOverdue(reason.waited)
+            || (reason.places < 2 && !(isRestart && isRestartUrgent(reason.waited)))) {
+            reason.rule = WaitRule::UrgentRoom;
+        } else if (!isRestart && fleet.spareBesidesRestarts < spec.taskSize.milliCores) {
+            reason.rule = WaitRule::RestartRoom;
+        }
     }
     return reason;
 }
--- a/packages/dispatch/waitreason.h
+++ b/packages/dispatch/waitreason.h
@@ -31,6 +31,8 @@
     Interference,
     /// The free resources are reserved for short tasks.
     UrgentRoom,
+    /// The free resources are kept for restarts of long-running tasks.
+    RestartRoom,
     /// A host suits; the next scheduling round starts the task.
     NextRound,
 };
--- a/packages/dispatch/waitreason_test.cpp
+++ b/packages/dispatch/waitreason_test.cpp
@@ -104,9 +104,18 @@
     SUBCASE("the room is reserved for short tasks")
     {
         fleet.dispatcher.fleet.longRunningSpareMilliCores = 0;
+        fleet.dispatcher.fleet.spareBesidesRestarts = 16000;
         CHECK(fleet.explain(at(100)).rule == WaitRule::UrgentRoom);
         CHECK(fleet.explain(at(3000)).rule == WaitRule::NextRound);
     }
+    SUBCASE("the room is kept for restarts")
+    {
+        fleet.dispatcher.fleet.longRunningSpareMilliCores = 0;
+        fleet.dispatcher.fleet.spareBesidesRestarts = 0;
+        CHECK(fleet.explain(at(3000)).rule == WaitRule::RestartRoom);
+        fleet.job().steps[0].tasks[0].run = 1;
+        CHECK(fleet.explain(at(3000)).rule == WaitRule::NextRound);
+    }
 }
 
 TEST_CASE("room on avoided hosts only is reported differently from no room")
