Hold back new connections in the soak as long as their link holds back traffic

The cause was the stand-in of the network: while a link held back all traffic to a host, the proxy still connected to the host for each new connection, and did not see that the client had given it up. On a real link the connection is not established, so that the host never has it.

New connections wait until the link passes traffic, and are dropped if the client closes them before. The violation is reported when it happens, with the host. Links that hold back answers only pass new connections as before.

--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -57,6 +57,7 @@
 
     void accept();
     void close(const std::shared_ptr<Connection> &connection);
+    void connectWhenPassable(const std::shared_ptr<Connection> &connection);
     void connect(const std::shared_ptr<Connection> &connection);
     void read(const std::shared_ptr<Pump> &pump);
     void forward(const std::shared_ptr<Pump> &pump, Duration forwardDelay);
@@ -91,12 +92,38 @@
             if (!self->fault.refusesConnections) {
                 auto connection = std::make_shared<Connection>(self->context);
                 connection->client = std::move(socket);
-                self->connect(connection);
+                self->connectWhenPassable(connection);
             }
             self->accept();
         });
 }
 
+/// Returns whether the client has closed its side, judged by what has arrived.
+bool hasClientClosed(Connection &connection)
+{
+    boost::system::error_code ec;
+    char byte = 0;
+    connection.client.non_blocking(true, ec);
+    connection.client.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec && ec != asio::error::would_block;
+}
+
+/// While the link holds back traffic to the server, a new connection does not reach it either.
+void Proxy::Impl::connectWhenPassable(const std::shared_ptr<Connection> &connection)
+{
+    if (!fault.holdsToServer) {
+        connect(connection);
+        return;
+    }
+    if (hasClientClosed(*connection)) {
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(context, holdPollPeriod);
+    timer->async_wait([self = shared_from_this(), connection, timer](boost::system::error_code) {
+        self->connectWhenPassable(connection);
+    });
+}
+
 void Proxy::Impl::connect(const std::shared_ptr<Connection> &connection)
 {
     std::erase_if(connections, [](const auto &entry) { return entry.expired(); });
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -13,6 +13,8 @@
 #include <getopt.h>
 #include <iostream>
 #include <sys/wait.h>
+#include <utility>
+#include <vector>
 
 using namespace acaciadeal;
 using namespace acaciadeal::soak;
@@ -110,6 +112,7 @@
     void createHostsAndDaemons();
     void startDaemon(Daemon &daemon);
     void superviseDaemons();
+    void checkRefusedConnections();
     void stopDaemon(Daemon &daemon);
     void registerHost(std::size_t n, bool leaving);
     void writeConfig();
@@ -140,6 +143,8 @@
     /// Generator of the faults of injectNextScarcity(), so that they do not change the other ones.
     std::mt19937_64 m_scarcityRandom{m_options.seed};
     int m_powerLosses = 0;
+    /// Number of refused connections that were reported already, by host.
+    std::vector<std::size_t> m_refusedConnections;
     EventLoop m_loop{{.threads = 1}};
     failure_tests::TemporaryFolder m_folder;
     InvariantChecker m_checker;
@@ -249,6 +254,20 @@
     }
 }
 
+/// Reports a violation if a host refused connections because all of them were in use.
+void Soak::checkRefusedConnections()
+{
+    m_refusedConnections.resize(m_hosts.size(), 0);
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        const std::size_t refused = m_hosts[n]->refusedConnections();
+        if (refused > std::exchange(m_refusedConnections[n], refused)) {
+            logEvent("refused connections: " + std::to_string(refused));
+            m_checker.reportViolation(
+                "CONNECTIONS", m_hosts[n]->id() + " refused connections because all were in use");
+        }
+    }
+}
+
 /// Restarts daemons that have ended, and checks that each ended as expected and in time.
 void Soak::superviseDaemons()
 {
@@ -279,6 +298,7 @@
         }
         startDaemon(*daemon);
     }
+    checkRefusedConnections();
     runAfter(milliseconds(50), [this] { superviseDaemons(); });
 }
 
@@ -680,15 +700,6 @@
         accepted += job.accepted ? 1 : 0;
         completed += job.completed ? 1 : 0;
     }
-    std::size_t refusedConnections = 0;
-    for (const auto &host : m_hosts) {
-        refusedConnections += host->refusedConnections();
-    }
-    if (refusedConnections > 0) {
-        m_checker.reportViolation("CONNECTIONS", std::to_string(refusedConnections)
-                                                     + " connections were refused by hosts whose"
-                                                       " connections were all in use");
-    }
     std::cout << "seed " << m_options.seed << ": " << m_checker.jobs.size() << " jobs, " << accepted
               << " accepted, " << completed << " completed, " << m_checker.violations.size()
               << " violations" << std::endl;
