--- a/tests/soak/hoststandin.cpp
+++ b/tests/soak/hoststandin.cpp
@@ -24,6 +24,8 @@
 /// Number of ends in one answer.
 constexpr std::size_t maxEndsPerAnswer = 500;
 constexpr const char *forgottenJob = "f0f0f0f0f0f0f0f0";
+/// Time for which the connection of an order that gets no answer stays open.
+constexpr Duration orderDropDelay = milliseconds(1000);
 /// Share of the runs whose task fails by itself.
 constexpr double failureShare = 0.03;
 
@@ -117,6 +119,11 @@
     return m_server->refusedConnections();
 }
 
+int HostStandin::heldOrders() const
+{
+    return m_heldOrders;
+}
+
 std::string HostStandin::bootName() const
 {
     return m_options.id + "/" + std::to_string(m_bootTimeMs);
@@ -166,7 +173,11 @@
                 executeOrder(path, call);
             }
         });
-        m_loop.postAfter(milliseconds(1000), [respond] { respond({}, Delivery::Dropped); });
+        ++m_heldOrders;
+        m_loop.postAfter(orderDropDelay, [this, respond] {
+            --m_heldOrders;
+            respond({}, Delivery::Dropped);
+        });
         return;
     }
     reply(executeOrder(path, call));
--- a/tests/soak/hoststandin.h
+++ b/tests/soak/hoststandin.h
@@ -56,6 +56,8 @@
     void fillEndList();
     /// Returns how many connections were closed because of the limit.
     std::size_t refusedConnections() const;
+    /// Returns the number of orders that get no answer and whose connections are still open here.
+    int heldOrders() const;
 
 private:
     struct Run
@@ -102,6 +104,7 @@
     std::map<TaskName, std::uint64_t> m_highestEndedRun;
     std::vector<RunEnd> m_unacknowledgedEnds;
     int m_forgottenRuns = 0;
+    int m_heldOrders = 0;
     std::uint64_t m_endCount = 0;
     double m_delayedOrderShare = 0;
     bool m_stalled = false;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -261,7 +261,8 @@
     for (std::size_t n = 0; n < m_hosts.size(); ++n) {
         const std::size_t refused = m_hosts[n]->refusedConnections();
         if (refused > std::exchange(m_refusedConnections[n], refused)) {
-            logEvent("refused connections: " + std::to_string(refused));
+            logEvent("refused connections: " + std::to_string(refused) + "; "
+                     + std::to_string(m_hosts[n]->heldOrders()) + " are in use by held orders");
             m_checker.reportViolation(
                 "CONNECTIONS", m_hosts[n]->id() + " refused connections because all were in use");
         }
