Log what a count of pending jobs is made of

Added, without a change of what callers are told:

- 8025 HolderNotNotified if the announcement of a stored job is not confirmed; 8015 RowIgnored if an announcement cannot be decoded.
- fleet_start_outcomes_total by outcome, and fleet_start_answer_seconds from order to answer.

A job now also has a mark for a start that a host has confirmed; nothing but these lines uses it.

--- a/packages/base/event.cpp
+++ b/packages/base/event.cpp
@@ -114,6 +114,12 @@
               "A task has waited for a while; which rule keeps it back, and what the holder sees."},
     EventInfo{EventId::HostReportIncomplete, Severity::Info, "HostReportIncomplete",
               "A host has more ended runs than one report lists, or lists all of them again."},
+    EventInfo{EventId::QueueInquired, Severity::Info, "QueueInquired",
+              "A caller was told how many jobs of a queue are pending, or that it is not known."},
+    EventInfo{EventId::PendingJobsCounted, Severity::Info, "PendingJobsCounted",
+              "The holder counted the pending jobs of a queue, or could not vouch for the count."},
+    EventInfo{EventId::HolderNotNotified, Severity::Warning, "HolderNotNotified",
+              "The holder did not confirm the announcement of a stored job."},
 };
 
 } // namespace
--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -70,6 +70,9 @@
     JobOffered = 8020,
     TaskWaits = 8021,
     HostReportIncomplete = 8022,
+    QueueInquired = 8023,
+    PendingJobsCounted = 8024,
+    HolderNotNotified = 8025,
 };
 
 /// Entry of the event catalogue.
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -218,6 +218,7 @@
     if (job == nullptr || task == nullptr) {
         return;
     }
+    job->startConfirmed = true;
     addEvent(dispatcher, {.kind = DispatchEvent::Kind::RunEnded,
                           .job = ended.task.job,
                           .taskName = describe(ended.task),
@@ -294,6 +295,9 @@
     JobRuntime *const job = findJob(dispatcher.fleet, active.task.job);
     TaskRuntime *const task = findTask(dispatcher.fleet, active.task);
     const bool known = job != nullptr && task != nullptr;
+    if (known) {
+        job->startConfirmed = true;
+    }
     if (known && task->phase == TaskPhase::Waiting && active.run > task->run
         && !isTerminal(job->progress.outcome)) {
         task->phase = TaskPhase::Running;
@@ -547,6 +551,7 @@
     } else {
         dispatcher.fleet.liveJobs.push_back(job.get());
     }
+    job->startConfirmed = showsStart(job->progress);
     unblockSteps(*job);
     const JobId id = job->spec.id;
     dispatcher.fleet.jobs.emplace(id, std::move(job));
@@ -572,6 +577,7 @@
     JobProgress &progress = runtime->progress;
     const JobState outcome = progress.outcome;
     merge(progress, stored);
+    runtime->startConfirmed = runtime->startConfirmed || showsStart(progress);
     for (std::size_t n = 0; n < runtime->steps.size(); ++n) {
         markWaitingTasksDone(runtime->steps[n], progress.steps[n]);
     }
@@ -622,6 +628,10 @@
     JobRuntime *const job = findJob(dispatcher.fleet, order.task.job);
     TaskRuntime *const task = findTask(dispatcher.fleet, order.task);
     FleetHost *const host = findHost(dispatcher.fleet, order.host);
+    if (job != nullptr && outcome == StartOutcome::Started) {
+        // Also if the run is not the current one any more: it has started nevertheless.
+        job->startConfirmed = true;
+    }
     if (job == nullptr || task == nullptr || !isCurrentRun(*task, order.host, order.run)
         || task->phase != TaskPhase::Starting) {
         return;
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/fleetstate.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciadeal {
@@ -23,6 +24,19 @@
     host.committed = sign > 0 ? host.committed + size : host.committed - size;
 }
 
+void addUnansweredOrders(FleetSummary &sum, const StepRuntime &step)
+{
+    for (const TaskRuntime &task : step.tasks) {
+        if (task.phase != TaskPhase::Starting) {
+            continue;
+        }
+        sum.oldestOrderAt = sum.unansweredOrders == 0
+                                ? task.phaseSince
+                                : std::min(sum.oldestOrderAt, task.phaseSince);
+        ++sum.unansweredOrders;
+    }
+}
+
 } // namespace
 
 const TaskRuntime *findTask(const FleetState &fleet, const TaskKey &task)
@@ -92,10 +106,13 @@
         sum.backfillMilliCores += host.backfillMilliCores;
     }
     for (const JobRuntime *const job : fleet.liveJobs) {
+        sum.pendingJobs += stateOf(*job) == JobState::Queued ? 1 : 0;
+        sum.unconfirmedJobs += job->hasStarted && !job->startConfirmed ? 1 : 0;
         for (std::size_t n = 0; n < job->steps.size(); ++n) {
             if (job->steps[n].dependenciesDone) {
                 sum.waitingTasks += job->steps[n].waiting;
                 sum.waitingBackfillTasks += job->spec.steps[n].backfill ? job->steps[n].waiting : 0;
+                addUnansweredOrders(sum, job->steps[n]);
             }
         }
     }
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -100,6 +100,9 @@
     bool inRecovery = false;
     /// Whether any task of the job was ever started.
     bool hasStarted = false;
+    /// Whether a host has confirmed that a task of the job started: it answered the start order, or
+    /// reported a run or the end of one.
+    bool startConfirmed = false;
     /// When the job reached a terminal state; unset before.
     TimePoint endedAt;
 };
@@ -233,6 +236,13 @@
     /// Waiting tasks whose step's dependencies are done, and how many of them are backfill tasks.
     std::size_t waitingTasks = 0;
     std::size_t waitingBackfillTasks = 0;
+    /// Jobs that callers see as queued.
+    std::size_t pendingJobs = 0;
+    /// Live jobs with start orders, of which no host has confirmed that a task started.
+    std::size_t unconfirmedJobs = 0;
+    /// Start orders without an answer, and when the oldest of them was made.
+    std::size_t unansweredOrders = 0;
+    TimePoint oldestOrderAt;
 };
 
 FleetSummary summarize(const FleetState &fleet);
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -144,6 +144,7 @@
     void cleanUp(TimePoint now);
     void removeJobs(const std::vector<JobId> &jobs, const std::shared_ptr<JobRemoval> &removal);
 
+    internal::HolderView view() const;
     HostCall callFor(const HostLink &link) const;
     template<typename Function>
     auto guarded(Function function);
@@ -197,6 +198,13 @@
     };
 }
 
+internal::HolderView FleetHolder::Impl::view() const
+{
+    return {.mayAct = env.mayAct(),
+            .jobsReadAt =
+                jobChangesReadAt == TimePoint() ? std::nullopt : std::optional(jobChangesReadAt)};
+}
+
 HostCall FleetHolder::Impl::callFor(const HostLink &link) const
 {
     return {.endpoint = link.endpoint,
@@ -674,8 +682,11 @@
     HostCall call = callFor(link);
     call.timeout = std::min(options.startTimeout, options.hostTimeout);
     env.hosts.startRun(call, order, *leaseUntil,
-                       guarded([this, order](StartOutcome outcome, const std::string &detail) {
+                       guarded([this, order, now](StartOutcome outcome, const std::string &detail) {
                            const TimePoint answeredAt = bootClockNow();
+                           env.metrics.count("fleet_start_outcomes_total",
+                                             {{"outcome", std::string(startOutcomeName(outcome))}});
+                           env.metrics.observe("fleet_start_answer_seconds", {}, answeredAt - now);
                            if (outcome != StartOutcome::Started) {
                                logEvent(EventId::TaskNotStarted,
                                         {{"job", order.task.job.value},
@@ -760,7 +771,7 @@
 
 void FleetHolder::Impl::reportStatus()
 {
-    internal::logStatus(dispatcher.fleet, rounds, bootClockNow());
+    internal::logStatus(dispatcher.fleet, view(), rounds, bootClockNow());
     env.loop.postAfter(options.statusEvery, guarded([this] { reportStatus(); }));
 }
 
@@ -1090,12 +1101,16 @@
     queryState(job, std::move(callback));
 }
 
-std::optional<std::size_t> FleetHolder::countPendingJobs(const std::string &queue) const
+Result<std::size_t> FleetHolder::countPendingJobs(const std::string &queue) const
 {
-    if (!m_impl->loaded) {
-        return std::nullopt;
-    }
-    return pendingJobs(m_impl->dispatcher, queue);
+    const Impl &impl = *m_impl;
+    Result<std::size_t> n =
+        failure(ResultCode::PlatformUnavailable, "the holder is still recovering the shard");
+    if (impl.loaded) {
+        n = pendingJobs(impl.dispatcher, queue);
+    }
+    internal::logPendingJobs(impl.dispatcher.fleet, impl.view(), queue, n, bootClockNow());
+    return n;
 }
 
 const Dispatcher &FleetHolder::dispatcher() const
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -110,9 +110,9 @@
     void queryState(const JobId &job, JobStateCallback callback);
     /// Cancels @p job and calls back once the cancellation is durable.
     void cancel(const JobId &job, JobStateCallback callback);
-    /// Returns the number of jobs of @p queue of which no task was started; nullopt during
-    /// recovery.
-    std::optional<std::size_t> countPendingJobs(const std::string &queue) const;
+    /// Returns the number of jobs of @p queue of which no task was started. Errors:
+    /// PlatformUnavailable during recovery.
+    Result<std::size_t> countPendingJobs(const std::string &queue) const;
 
     const Dispatcher &dispatcher() const;
 
--- a/packages/fleet/internal/holderlog.cpp
+++ b/packages/fleet/internal/holderlog.cpp
@@ -15,6 +15,11 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+std::string age(const std::optional<TimePoint> &since, TimePoint now)
+{
+    return since ? inMilliseconds(now - *since) : "none";
+}
+
 } // namespace
 
 void logDispatchEvents(Dispatcher &dispatcher, Metrics &metrics)
@@ -63,7 +68,7 @@
     }
 }
 
-void logStatus(const FleetState &fleet, RoundTimes &rounds, TimePoint now)
+void logStatus(const FleetState &fleet, const HolderView &view, RoundTimes &rounds, TimePoint now)
 {
     const std::clock_t processorTime = std::clock();
     const RoundTimes ended = std::exchange(rounds, RoundTimes{.processorTime = processorTime});
@@ -96,8 +101,14 @@
          {"waiting_tasks", std::to_string(sum.waitingTasks)},
          {"waiting_backfill_tasks", std::to_string(sum.waitingBackfillTasks)},
          {"long_running_spare", cores(static_cast<std::int64_t>(fleet.longRunningSpareMilliCores))},
-         {"host_list_age_ms",
-          fleet.hostListReadAt ? inMilliseconds(now - *fleet.hostListReadAt) : std::string("none")},
+         {"may_act", view.mayAct ? "yes" : "no"},
+         {"pending_jobs", std::to_string(sum.pendingJobs)},
+         {"unconfirmed_jobs", std::to_string(sum.unconfirmedJobs)},
+         {"unanswered_orders", std::to_string(sum.unansweredOrders)},
+         {"oldest_order_ms",
+          sum.unansweredOrders == 0 ? "none" : inMilliseconds(now - sum.oldestOrderAt)},
+         {"job_table_age_ms", age(view.jobsReadAt, now)},
+         {"host_list_age_ms", age(fleet.hostListReadAt, now)},
          {"rounds", std::to_string(ended.rounds)},
          {"rounds_ms", inMilliseconds(ended.total)},
          {"longest_round_ms", inMilliseconds(ended.longestRound)},
@@ -105,6 +116,26 @@
          {"processor_ms", std::to_string(used / (CLOCKS_PER_SEC / 1000))}});
 }
 
+void logPendingJobs(const FleetState &fleet, const HolderView &view, const std::string &queue,
+                    const Result<std::size_t> &pending, TimePoint now)
+{
+    std::size_t live = 0;
+    std::size_t unconfirmed = 0;
+    for (const JobRuntime *const job : fleet.liveJobs) {
+        if (job->spec.terms.queue == queue) {
+            ++live;
+            unconfirmed += job->hasStarted && !job->startConfirmed ? 1 : 0;
+        }
+    }
+    logEvent(EventId::PendingJobsCounted,
+             {{"queue", queue},
+              {"answer", pending ? std::to_string(*pending) : pending.error().message},
+              {"live_jobs", std::to_string(live)},
+              {"unconfirmed_jobs", std::to_string(unconfirmed)},
+              {"may_act", view.mayAct ? "yes" : "no"},
+              {"job_table_age_ms", age(view.jobsReadAt, now)}});
+}
+
 void logWaits(Dispatcher &dispatcher, Metrics &metrics, TimePoint now)
 {
     std::vector<WaitingStep> steps = waitingSteps(dispatcher.fleet, minReportedWait, now);
--- a/packages/fleet/internal/holderlog.h
+++ b/packages/fleet/internal/holderlog.h
@@ -5,6 +5,8 @@
 #include "metrics/metrics.h"
 
 #include <ctime>
+#include <optional>
+#include <string>
 
 namespace acaciadeal::internal {
 
@@ -25,8 +27,21 @@
     std::clock_t processorTime = 0;
 };
 
+/// How current the holder's knowledge is.
+struct HolderView
+{
+    /// Whether the daemon may act as the holder.
+    bool mayAct = false;
+    /// Time as of which all stored jobs are known; unset before the first read.
+    std::optional<TimePoint> jobsReadAt;
+};
+
 /// Logs totals of the fleet and the statistics of @p rounds, and resets the latter.
-void logStatus(const FleetState &fleet, RoundTimes &rounds, TimePoint now);
+void logStatus(const FleetState &fleet, const HolderView &view, RoundTimes &rounds, TimePoint now);
+
+/// Logs a count of the pending jobs of @p queue; @p pending is the answer.
+void logPendingJobs(const FleetState &fleet, const HolderView &view, const std::string &queue,
+                    const Result<std::size_t> &pending, TimePoint now);
 
 /// Time for which a task has to wait before the reason is logged.
 inline constexpr Duration minReportedWait = std::chrono::seconds(2);
--- a/packages/fleet/jobfrontend.cpp
+++ b/packages/fleet/jobfrontend.cpp
@@ -295,9 +295,16 @@
         holder->addStoredJob(job);
         return;
     }
-    callHolder(jobStored, job.id, encodeJob(job), [](const Result<ForwardedAnswer> &) {
-        // Errors are ignored: a lost message only delays the start of the job.
-    });
+    callHolder(jobStored, job.id, encodeJob(job),
+               [id = job.id](const Result<ForwardedAnswer> &answer) {
+                   if (answer && answer->status == statusOk) {
+                       return;
+                   }
+                   // Not retried: a lost message only delays the start of the job.
+                   logEvent(EventId::HolderNotNotified,
+                            {{"job", id.value},
+                             {"reason", answer ? answer->body : answer.error().message}});
+               });
 }
 
 void JobFrontend::callHolder(const std::string &requestClass, const JobId &job,
@@ -453,13 +460,7 @@
 void JobFrontend::countPendingJobs(const std::string &queue, PendingCallback callback)
 {
     if (const FleetHolder *const holder = m_env.localHolder()) {
-        const auto n = holder->countPendingJobs(queue);
-        if (n) {
-            callback(*n);
-        } else {
-            callback(failure(ResultCode::PlatformUnavailable,
-                             "the holder is still recovering the shard"));
-        }
+        callback(holder->countPendingJobs(queue));
         return;
     }
     callHolder(queuePending, {}, queue,
@@ -490,6 +491,9 @@
         auto spec = decodeJob(request.body);
         if (spec) {
             holder->addStoredJob(std::move(*spec));
+        } else {
+            logEvent(EventId::RowIgnored, {{"row", "announcement of job " + job.value},
+                                           {"reason", spec.error().message}});
         }
         respond(ForwardedAnswer{.status = statusOk});
         return;
@@ -506,7 +510,7 @@
         const auto n = holder->countPendingJobs(request.body);
         respond(ForwardedAnswer{
             .status = n ? statusOk : static_cast<unsigned>(ResultCode::PlatformUnavailable),
-            .body = n ? std::to_string(*n) : "the holder is still recovering the shard"});
+            .body = n ? std::to_string(*n) : n.error().message});
         return;
     }
     queryOrCancel(*holder, job, request.requestClass == jobCancel,
--- a/packages/jobs/jobprogress.cpp
+++ b/packages/jobs/jobprogress.cpp
@@ -108,6 +108,14 @@
     return changed;
 }
 
+bool showsStart(const JobProgress &progress)
+{
+    return std::any_of(progress.steps.begin(), progress.steps.end(), [](const StepProgress &step) {
+        return !step.failedRuns.empty()
+               || std::find(step.done.begin(), step.done.end(), true) != step.done.end();
+    });
+}
+
 bool isStepDone(const JobProgress &progress, std::size_t step)
 {
     const std::vector<bool> &done = progress.steps[step].done;
--- a/packages/jobs/jobprogress.h
+++ b/packages/jobs/jobprogress.h
@@ -48,6 +48,9 @@
 /// Returns whether @p progress changed.
 bool merge(JobProgress &progress, const JobProgress &other);
 
+/// Returns whether @p progress shows that a task has started: a run of it has ended. Thread-safe.
+bool showsStart(const JobProgress &progress);
+
 /// Returns whether all tasks of the step with index @p step are done. Precondition: it exists.
 bool isStepDone(const JobProgress &progress, std::size_t step);
 
