--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -410,6 +410,95 @@
     CHECK(dispatcher.fleet.hosts[{"h"}].reported);
 }
 
+// Guards against a count of pending jobs that leaves out jobs of which only orders exist: users saw
+// a count of 0 while ten jobs had waited for over 5 s. MIXED.
+TEST_CASE("a job is pending until a host confirms that one of its tasks started")
+{
+    for (const StartOutcome outcome :
+         {StartOutcome::Unhealthy, StartOutcome::NotSent, StartOutcome::NoRoom,
+          StartOutcome::Outdated, StartOutcome::LeaseLapsed, StartOutcome::Fenced,
+          StartOutcome::WrongInstance, StartOutcome::Malformed, StartOutcome::Unknown}) {
+        CAPTURE(startOutcomeName(outcome));
+        Dispatcher dispatcher;
+        addHost(dispatcher, "h");
+        add(dispatcher, job("j", {step(1, 1000)}));
+        CHECK(pendingJobs(dispatcher, "q") == 1);
+        const Orders orders = plan(dispatcher, at(0));
+        REQUIRE(orders.starts.size() == 1);
+        CHECK(pendingJobs(dispatcher, "q") == 1);
+        applyStartOutcome(dispatcher, orders.starts[0], outcome, at(10));
+        CHECK(pendingJobs(dispatcher, "q") == 1);
+        CHECK(stateOf(*findJob(dispatcher.fleet, {"j"})) == JobState::Queued);
+        CHECK(summarize(dispatcher.fleet).pendingJobs == 1);
+        CHECK(summarize(dispatcher.fleet).unconfirmedJobs == 1);
+    }
+}
+
+// Guards against jobs that stay pending although a task of theirs has started.
+TEST_CASE("a job is not pending any more once the start of a task is known")
+{
+    const JobSpec spec = job("j", {step(2, 1000)});
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    const auto isPending = [&dispatcher] {
+        return pendingJobs(dispatcher, "q") == 1;
+    };
+    SUBCASE("the host answers the order")
+    {
+        add(dispatcher, spec);
+        startAll(dispatcher, at(0));
+    }
+    SUBCASE("the host answers the order of a run that is not the current one any more")
+    {
+        add(dispatcher, spec);
+        const Orders orders = plan(dispatcher, at(0));
+        declareRunsLost(dispatcher, {"h"}, "test", at(5));
+        REQUIRE(isPending());
+        applyStartOutcome(dispatcher, orders.starts.at(0), StartOutcome::Started, at(10));
+    }
+    SUBCASE("the host reports a run whose order was not answered")
+    {
+        add(dispatcher, spec);
+        const Orders orders = plan(dispatcher, at(0));
+        applyStartOutcome(dispatcher, orders.starts.at(0), StartOutcome::Unknown, at(10));
+        REQUIRE(isPending());
+        HostReport reported{.active = {{.task = key("j"), .run = orders.starts.at(0).run}}};
+        applyReport(dispatcher, {"h"}, reported, at(11), true, at(12));
+    }
+    SUBCASE("the host reports a run of an earlier holder")
+    {
+        addJob(dispatcher, spec, emptyProgress(spec), 0, true, start);
+        REQUIRE(isPending());
+        applyReport(dispatcher, {"h"}, {.active = {{.task = key("j"), .run = 7}}}, at(0), true,
+                    at(1));
+    }
+    SUBCASE("the host reports that a run of an earlier holder failed")
+    {
+        addJob(dispatcher, spec, emptyProgress(spec), 0, true, start);
+        report(dispatcher, "h", {{.number = 1, .task = key("j"), .run = 7, .end = RunEnd::Failed}},
+               at(1));
+    }
+    SUBCASE("the stored progress has a failed run")
+    {
+        JobProgress progress = emptyProgress(spec);
+        progress.steps[0].failedRuns[1] = {3};
+        addJob(dispatcher, spec, progress, 1, false, start);
+    }
+    SUBCASE("progress that an earlier holder stored late has a task that is done")
+    {
+        add(dispatcher, spec);
+        REQUIRE(isPending());
+        JobProgress progress = emptyProgress(spec);
+        progress.steps[0].done[1] = true;
+        mergeProgress(dispatcher, {"j"}, progress, at(1));
+    }
+    CHECK_FALSE(isPending());
+    CHECK(stateOf(*findJob(dispatcher.fleet, {"j"})) == JobState::Running);
+    // A loss of the run does not undo its start.
+    declareRunsLost(dispatcher, {"h"}, "test", at(20));
+    CHECK_FALSE(isPending());
+}
+
 // Guards against avoiding a healthy host because orders wait for its connections.
 TEST_CASE("a start that was not sent does not count against the host")
 {
