Count a job as pending until a host confirms a start

Cause: a job was marked as started when the dispatcher made a start order. Orders that were refused, were not sent, or got no answer did not take the mark back, so that one attempt hid a job from the count for good. Class: an order is taken for its effect.

Change: the mark is set only by what shows a start: the answer of a host, a run or the end of one in a report, and stored progress with an ended run. The state of a job, `queued` or `in_progress`, goes by it too.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -248,7 +248,6 @@
     if (inherited) {
         task->run = ended.run;
         task->host = host.id;
-        job->hasStarted = true;
     }
     if (!ended.checkpoint.empty()) {
         task->checkpoint = ended.checkpoint;
@@ -307,7 +306,6 @@
         task->phaseSince = now;
         task->progressedAt = now;
         task->pace = unknownPace;
-        job->hasStarted = true;
         addRun(host, *job, active.task, active.run);
         addEvent(dispatcher, {.kind = DispatchEvent::Kind::RunAdopted,
                               .job = active.task.job,
@@ -432,7 +430,7 @@
     task.phaseSince = now;
     task.progressedAt = now;
     --job.steps[key.step].waiting;
-    job.hasStarted = true;
+    job.startOrdered = true;
     addRun(host, job, key, task.run);
     if (stepOf(job, key).tailLatencyTarget.count() > 0) {
         dispatcher.fleet.longRunningSpareMilliCores -=
@@ -538,7 +536,6 @@
         for (std::size_t task = 0; task < step.tasks.size(); ++task) {
             if (job->progress.steps[n].done[task]) {
                 step.tasks[task].phase = TaskPhase::Done;
-                job->hasStarted = true;
             } else {
                 ++step.waiting;
             }
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -130,7 +130,7 @@
 /// Runs a scheduling round: decides which tasks to start and to stop, and collects speed orders.
 Orders plan(Dispatcher &dispatcher, TimePoint now);
 
-/// Returns the number of jobs of @p queue of which no task has started.
+/// Returns the number of live jobs of @p queue of which no host has confirmed the start of a task.
 std::size_t pendingJobs(const Dispatcher &dispatcher, const std::string &queue);
 
 } // namespace acaciadeal
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -76,7 +76,7 @@
     if (isTerminal(job.progress.outcome)) {
         return job.progress.outcome;
     }
-    return job.hasStarted ? JobState::Running : JobState::Queued;
+    return job.startConfirmed ? JobState::Running : JobState::Queued;
 }
 
 bool isUsable(const FleetState &fleet, const FleetHost &host)
@@ -107,7 +107,7 @@
     }
     for (const JobRuntime *const job : fleet.liveJobs) {
         sum.pendingJobs += stateOf(*job) == JobState::Queued ? 1 : 0;
-        sum.unconfirmedJobs += job->hasStarted && !job->startConfirmed ? 1 : 0;
+        sum.unconfirmedJobs += job->startOrdered && !job->startConfirmed ? 1 : 0;
         for (std::size_t n = 0; n < job->steps.size(); ++n) {
             if (job->steps[n].dependenciesDone) {
                 sum.waitingTasks += job->steps[n].waiting;
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -98,8 +98,9 @@
     std::vector<StepRuntime> steps;
     /// Whether tasks of the job may be running on hosts that have not reported to this holder yet.
     bool inRecovery = false;
-    /// Whether any task of the job was ever started.
-    bool hasStarted = false;
+    /// Whether this holder has ordered the start of a task of the job. An order may be refused or
+    /// never reach its host.
+    bool startOrdered = false;
     /// Whether a host has confirmed that a task of the job started: it answered the start order, or
     /// reported a run or the end of one.
     bool startConfirmed = false;
--- a/packages/fleet/internal/holderlog.cpp
+++ b/packages/fleet/internal/holderlog.cpp
@@ -124,7 +124,7 @@
     for (const JobRuntime *const job : fleet.liveJobs) {
         if (job->spec.terms.queue == queue) {
             ++live;
-            unconfirmed += job->hasStarted && !job->startConfirmed ? 1 : 0;
+            unconfirmed += job->startOrdered && !job->startConfirmed ? 1 : 0;
         }
     }
     logEvent(EventId::PendingJobsCounted,
