Give no count of pending jobs from a daemon that may not act

What callers could see: the count of a former holder, which jobs stored since are not in.

Cause: the count asked only whether the tables had been loaded, not whether the daemon may still act as the holder. Class: an answer from a belief that is not confirmed any more.

Result: the first new case of fleet_test failed before (a count in place of none).

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -323,6 +323,15 @@
         });
     }
 
+    /// Returns the holder's count of pending jobs of queue "q"; -1 if it gives none.
+    int pendingCount(const FleetHolder &holder)
+    {
+        return onLoop(loop, [&holder] {
+            const auto n = holder.countPendingJobs("q");
+            return n ? static_cast<int>(*n) : -1;
+        });
+    }
+
     JobState stateOf(FleetHolder &holder, const std::string &id)
     {
         std::promise<JobState> state;
@@ -1245,3 +1254,40 @@
     CHECK(cluster.startsAfterNextJob("j") == 1);
     CHECK(cluster.removedBetweenReads.empty());
 }
+
+// Guards against a count of pending jobs by a daemon that another one may have replaced. MIXED.
+TEST_CASE("a daemon that may not act as the holder gives no count of pending jobs")
+{
+    Cluster cluster(1);
+    const FleetHolder &holder = cluster.startHolder(1);
+    REQUIRE(eventually(cluster.loop, [&] { return holder.countPendingJobs("q").has_value(); }));
+    cluster.runOnLoop([&] { cluster.mayAct[1] = false; });
+    // The next holder's daemon stores it and cannot tell this one.
+    cluster.submit(oneTaskJob("j"));
+    CHECK(cluster.pendingCount(holder) == -1);
+    cluster.runOnLoop([&] { cluster.mayAct[1] = true; });
+    CHECK(cluster.pendingCount(holder) >= 0);
+}
+
+// Guards against a new holder that leaves jobs out: those that were announced before it had read
+// the tables, and those of which the previous holder had only ordered starts. MIXED.
+TEST_CASE("a new holder counts the pending jobs that the previous one left")
+{
+    Cluster cluster(1);
+    cluster.startHolder(1);
+    cluster.submit(oneTaskJob("runs"));
+    REQUIRE(cluster.waitUntilRunning("runs"));
+    cluster.runOnLoop([&] {
+        cluster.mayAct[1] = false;
+        cluster.hosts.host("h0").unresponsive = true;
+    });
+    cluster.submit(oneTaskJob("stored"));
+    FleetHolder &holder = cluster.startHolder(2);
+    cluster.runOnLoop([&] { holder.addStoredJob(oneTaskJob("announced")); });
+    // The job that runs is counted until its host reports it.
+    CHECK(eventually(cluster.loop,
+                     [&] { return holder.countPendingJobs("q") == Result<std::size_t>(3); }));
+    cluster.runOnLoop([&] { cluster.hosts.host("h0").unresponsive = false; });
+    CHECK(eventually(cluster.loop,
+                     [&] { return holder.countPendingJobs("q") == Result<std::size_t>(0); }));
+}
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -145,6 +145,7 @@
     void removeJobs(const std::vector<JobId> &jobs, const std::shared_ptr<JobRemoval> &removal);
 
     internal::HolderView view() const;
+    Result<void> checkKnowsAllJobs() const;
     HostCall callFor(const HostLink &link) const;
     template<typename Function>
     auto guarded(Function function);
@@ -205,6 +206,19 @@
                 jobChangesReadAt == TimePoint() ? std::nullopt : std::optional(jobChangesReadAt)};
 }
 
+/// Checks that the jobs in memory are those of the shard, so that they may be counted.
+Result<void> FleetHolder::Impl::checkKnowsAllJobs() const
+{
+    if (!loaded) {
+        return failure(ResultCode::PlatformUnavailable, "the holder is still recovering the shard");
+    }
+    if (!env.mayAct()) {
+        return failure(ResultCode::PlatformUnavailable,
+                       "the daemon cannot confirm that it still holds the shard");
+    }
+    return {};
+}
+
 HostCall FleetHolder::Impl::callFor(const HostLink &link) const
 {
     return {.endpoint = link.endpoint,
@@ -1104,10 +1118,9 @@
 Result<std::size_t> FleetHolder::countPendingJobs(const std::string &queue) const
 {
     const Impl &impl = *m_impl;
-    Result<std::size_t> n =
-        failure(ResultCode::PlatformUnavailable, "the holder is still recovering the shard");
-    if (impl.loaded) {
-        n = pendingJobs(impl.dispatcher, queue);
+    Result<std::size_t> n = pendingJobs(impl.dispatcher, queue);
+    if (const auto known = impl.checkKnowsAllJobs(); !known) {
+        n = tl::unexpected<Error>(known.error());
     }
     internal::logPendingJobs(impl.dispatcher.fleet, impl.view(), queue, n, bootClockNow());
     return n;
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -110,8 +110,10 @@
     void queryState(const JobId &job, JobStateCallback callback);
     /// Cancels @p job and calls back once the cancellation is durable.
     void cancel(const JobId &job, JobStateCallback callback);
-    /// Returns the number of jobs of @p queue of which no task was started. Errors:
-    /// PlatformUnavailable during recovery.
+    /// Returns the number of live jobs of @p queue of which no host has confirmed the start of a
+    /// task. After a change of the holder it may include jobs with tasks on hosts that have not
+    /// reported yet. Errors: PlatformUnavailable if this daemon has not read the shard's jobs yet,
+    /// or may not act as the holder.
     Result<std::size_t> countPendingJobs(const std::string &queue) const;
 
     const Dispatcher &dispatcher() const;
