Give no count of pending jobs without a recent read of the job table

What callers could see: a count without the jobs whose announcements to the holder were lost, for as long as the holder cannot read the changes of the job table.

Cause: announcements are sent once, and nothing bounded the age of the last read. Class: stored does not mean known to the holder.

Change: the holder counts only if its last successful read was sent at most 4.5 s before. Users require that a job is counted 5 s after it was accepted (3 s until it is visible and 2 s of age of the count); 0.5 s is the timeout of a call between daemons. The first load counts as a read.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -86,6 +86,7 @@
     bool historyLost = false;
     milliseconds hostLease = lease;
     Duration readJobsEvery = milliseconds(50);
+    Duration maxCountAge = testTimeout;
     Duration catchUpTimeout = testTimeout;
     /// Job whose rows are removed after the next read of the job or progress table.
     JobId removedBetweenReads;
@@ -208,6 +209,7 @@
                                    .flushDelay = milliseconds(10),
                                    .listHostsEvery = milliseconds(50),
                                    .readJobsEvery = readJobsEvery,
+                                   .maxCountAge = maxCountAge,
                                    .catchUpTimeout = catchUpTimeout,
                                    .tickEvery = milliseconds(10),
                                    .endedJobRetention = endedJobRetention});
@@ -1269,6 +1271,22 @@
     CHECK(cluster.pendingCount(holder) >= 0);
 }
 
+// Guards against a count that leaves out jobs whose announcements were lost while the changes of
+// the job table cannot be read. MIXED.
+TEST_CASE("pending jobs are not counted while the changes of the job table cannot be read")
+{
+    Cluster cluster(0);
+    cluster.maxCountAge = milliseconds(300);
+    const FleetHolder &holder = cluster.startHolder(1);
+    REQUIRE(eventually(cluster.loop, [&] { return holder.countPendingJobs("q").has_value(); }));
+    cluster.runOnLoop([&] { cluster.changesTimeout = milliseconds(20); });
+    cluster.submit(oneTaskJob("j"));
+    REQUIRE(eventually(cluster.loop, [&] { return !holder.countPendingJobs("q").has_value(); }));
+    cluster.runOnLoop([&] { cluster.changesTimeout.reset(); });
+    CHECK(eventually(cluster.loop,
+                     [&] { return holder.countPendingJobs("q") == Result<std::size_t>(1); }));
+}
+
 // Guards against a new holder that leaves jobs out: those that were announced before it had read
 // the tables, and those of which the previous holder had only ordered starts. MIXED.
 TEST_CASE("a new holder counts the pending jobs that the previous one left")
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -101,7 +101,8 @@
 
     void readTables(TablesCallback done);
     void readState();
-    void onTables(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress);
+    void onTables(const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress,
+                  TimePoint sentAt);
     void addStoredJobs(const RowSnapshot &jobs, const RowSnapshot &progress, TimePoint now);
     void listHosts();
     void onHosts(const Result<std::vector<HostRecord>> &hosts);
@@ -167,7 +168,8 @@
     std::map<JobId, TimePoint> tombstoneSeenAt;
     /// Version of the job table up to which changes have been read.
     std::uint64_t jobsVersion = 0;
-    /// When the last successful read of changed jobs was sent; everything stored before is known.
+    /// When the last successful read of the job table or of its changes was sent; everything stored
+    /// before is known.
     TimePoint jobChangesReadAt;
     bool readingJobChanges = false;
     /// Whether the last read of changed jobs failed.
@@ -216,6 +218,11 @@
         return failure(ResultCode::PlatformUnavailable,
                        "the daemon cannot confirm that it still holds the shard");
     }
+    // Announcements of stored jobs may be lost, so only a read of the job table shows all of them.
+    if (bootClockNow() - jobChangesReadAt > options.maxCountAge) {
+        return failure(ResultCode::PlatformUnavailable,
+                       "the holder has not been able to read the job table lately");
+    }
     return {};
 }
 
@@ -243,13 +250,14 @@
 
 void FleetHolder::Impl::readState()
 {
-    readTables([this](const Result<RowSnapshot> &jobs, const Result<RowSnapshot> &progress) {
-        onTables(jobs, progress);
+    readTables([this, sentAt = bootClockNow()](const Result<RowSnapshot> &jobs,
+                                               const Result<RowSnapshot> &progress) {
+        onTables(jobs, progress, sentAt);
     });
 }
 
 void FleetHolder::Impl::onTables(const Result<RowSnapshot> &jobs,
-                                 const Result<RowSnapshot> &progress)
+                                 const Result<RowSnapshot> &progress, TimePoint sentAt)
 {
     if (!jobs || !progress) {
         env.loop.postAfter(readRetryDelay, guarded([this] { readState(); }));
@@ -257,6 +265,7 @@
     }
     const TimePoint now = bootClockNow();
     addStoredJobs(*jobs, *progress, now);
+    jobChangesReadAt = sentAt;
     loaded = true;
     for (JobSpec &job : jobsBeforeLoad) {
         JobProgress empty = emptyProgress(job);
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -50,6 +50,10 @@
     Duration planDelay = milliseconds(5);
     Duration listHostsEvery = milliseconds(600);
     Duration readJobsEvery = milliseconds(1000);
+    /// Longest time since the last read of changed jobs at which pending jobs are counted. Users
+    /// require that a count includes every job that was accepted 5 s before; 0.5 s, the timeout of
+    /// a call between daemons, is left for the answer.
+    Duration maxCountAge = milliseconds(4500);
     /// Longest time for which a new holder that knows the runs on all hosts waits until it has read
     /// the latest changes of the job table, which may contain cancellations.
     Duration catchUpTimeout = std::chrono::seconds(2);
@@ -113,7 +117,7 @@
     /// Returns the number of live jobs of @p queue of which no host has confirmed the start of a
     /// task. After a change of the holder it may include jobs with tasks on hosts that have not
     /// reported yet. Errors: PlatformUnavailable if this daemon has not read the shard's jobs yet,
-    /// or may not act as the holder.
+    /// has not read changes of them for maxCountAge, or may not act as the holder.
     Result<std::size_t> countPendingJobs(const std::string &queue) const;
 
     const Dispatcher &dispatcher() const;
