Show a job from the store as running only if its progress shows a start

What callers could see: `in_progress` for a job of which no task has begun, if the holder could not be asked and the daemon read the job's rows.

Cause: every stored job without an outcome was reported as running. The same class: stored is not begun.

Change: the state is `queued` unless the stored progress has a run that ended.

--- a/packages/fleet/jobfrontend_test.cpp
+++ b/packages/fleet/jobfrontend_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <future>
+#include <optional>
 #include <utility>
 
 using namespace acaciadeal;
@@ -155,6 +156,29 @@
         return code.get_future().get();
     }
 
+    /// Returns the state in the answer to a query; nullopt if the answer is an error.
+    std::optional<JobState> state(const std::string &id)
+    {
+        std::promise<std::optional<JobState>> state;
+        loop.post([&] {
+            frontend->queryState({id}, [&state](const Result<JobState> &result) {
+                state.set_value(result ? std::optional(*result) : std::nullopt);
+            });
+        });
+        return state.get_future().get();
+    }
+
+    /// Stores progress as a holder does.
+    void storeProgress(const std::string &id, const JobProgress &progress)
+    {
+        std::promise<bool> stored;
+        store.commit({.puts = {{progressRowKey({id}), encodeProgress(progress)}}},
+                     [&stored](const Result<CommitVersions> &result) {
+                         stored.set_value(result.has_value());
+                     });
+        REQUIRE(stored.get_future().get());
+    }
+
     std::size_t storedJobs()
     {
         std::promise<std::size_t> n;
@@ -268,3 +292,20 @@
     CHECK(fixture.query("j") == ResultCode::Ok);
     CHECK(fixture.submit({"j"}) == std::vector{ResultCode::Ok});
 }
+
+// Guards against a job that is shown as running before any of its tasks has started. MIXED.
+TEST_CASE("a state from the store is \"running\" only if the stored progress shows a start")
+{
+    FrontendFixture fixture;
+    CHECK(fixture.submit({"j"}) == std::vector{ResultCode::Ok});
+    CHECK(fixture.state("j") == JobState::Queued);
+    JobProgress progress = emptyProgress(oneTaskJob("j"));
+    fixture.storeProgress("j", progress);
+    CHECK(fixture.state("j") == JobState::Queued);
+    progress.steps[0].failedRuns[0] = {1};
+    fixture.storeProgress("j", progress);
+    CHECK(fixture.state("j") == JobState::Running);
+    progress.outcome = JobState::Completed;
+    fixture.storeProgress("j", progress);
+    CHECK(fixture.state("j") == JobState::Completed);
+}
--- a/packages/fleet/jobrows.cpp
+++ b/packages/fleet/jobrows.cpp
@@ -93,7 +93,10 @@
     if (isTerminal(job.progress.outcome)) {
         return job.progress.outcome;
     }
-    return job.cancelled ? JobState::Cancelled : JobState::Running;
+    if (job.cancelled) {
+        return JobState::Cancelled;
+    }
+    return showsStart(job.progress) ? JobState::Running : JobState::Queued;
 }
 
 } // namespace acaciadeal
