Show operators the same count of pending jobs as callers get

What operators saw: the tasks that wait, but nowhere the count that callers get as `pending`, so that the two could not be compared.

Change: the status page gives the pending jobs by queue or the reason why there is none, and the metric fleet_pending_jobs their sum, both through the same check as the answer to callers. On a daemon that cannot give the count the metric is not a number, as zero would say that no job is pending.

Result: statuspages_test covers both answers.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -747,4 +747,13 @@
     return n;
 }
 
+std::map<std::string, std::size_t> pendingJobsByQueue(const Dispatcher &dispatcher)
+{
+    std::map<std::string, std::size_t> pending;
+    for (const JobRuntime *const job : dispatcher.fleet.liveJobs) {
+        pending[job->spec.terms.queue] += stateOf(*job) == JobState::Queued ? 1 : 0;
+    }
+    return pending;
+}
+
 } // namespace acaciadeal
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/fleetstate.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -133,6 +134,9 @@
 /// Returns the number of live jobs of @p queue of which no host has confirmed the start of a task.
 std::size_t pendingJobs(const Dispatcher &dispatcher, const std::string &queue);
 
+/// Returns pendingJobs() of every queue with live jobs.
+std::map<std::string, std::size_t> pendingJobsByQueue(const Dispatcher &dispatcher);
+
 } // namespace acaciadeal
 
 #endif
--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -16,7 +16,10 @@
 #include "wire/peerserver.h"
 
 #include <future>
+#include <limits>
+#include <map>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace acaciadeal {
@@ -96,6 +99,8 @@
     void onShardClaimed(std::uint64_t epoch, TimePoint previousStoppedAt);
     void stopHolder();
     void onOperatorViewChanged();
+    Result<std::map<std::string, std::size_t>> pendingJobs() const;
+    void updateHolderMetrics();
     StatusInputs statusInputs() const;
 
     DaemonSettings settings;
@@ -204,6 +209,28 @@
     }
 }
 
+Result<std::map<std::string, std::size_t>> FleetDaemon::Impl::pendingJobs() const
+{
+    if (!holder) {
+        return failure(ResultCode::NotHolder, "this daemon does not hold the shard");
+    }
+    return holder->countPendingJobsByQueue();
+}
+
+/// Sets the gauges that only the holder can give. They are not a number on the other daemons: zero
+/// would say that no job is pending.
+void FleetDaemon::Impl::updateHolderMetrics()
+{
+    double n = std::numeric_limits<double>::quiet_NaN();
+    if (const auto pending = pendingJobs()) {
+        n = 0;
+        for (const auto &[queue, jobs] : *pending) {
+            n += static_cast<double>(jobs);
+        }
+    }
+    metrics.set("fleet_pending_jobs", {}, n);
+}
+
 StatusInputs FleetDaemon::Impl::statusInputs() const
 {
     return {.daemon = settings.daemon,
@@ -211,6 +238,7 @@
             .owner = ownership->holder(),
             .view = operatorWatch->view(),
             .dispatcher = holder ? &holder->dispatcher() : nullptr,
+            .pendingJobs = pendingJobs(),
             .now = bootClockNow()};
 }
 
@@ -266,6 +294,7 @@
                                 static_cast<double>(n));
                 }
             }
+            updateHolderMetrics();
             respond(
                 {statusOk, {{"content-type", "text/plain; version=0.0.4"}}, metrics.exposition()});
         });
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -1135,6 +1135,14 @@
     return n;
 }
 
+Result<std::map<std::string, std::size_t>> FleetHolder::countPendingJobsByQueue() const
+{
+    if (const auto known = m_impl->checkKnowsAllJobs(); !known) {
+        return tl::unexpected<Error>(known.error());
+    }
+    return pendingJobsByQueue(m_impl->dispatcher);
+}
+
 const Dispatcher &FleetHolder::dispatcher() const
 {
     return m_impl->dispatcher;
--- a/packages/fleet/statuspages.cpp
+++ b/packages/fleet/statuspages.cpp
@@ -79,6 +79,11 @@
         j["backfill_cores"] = sum.backfillMilliCores / 1000;
         j["live_jobs"] = inputs.dispatcher->fleet.liveJobs.size();
         j["waiting_tasks"] = sum.waitingTasks;
+        if (inputs.pendingJobs) {
+            j["pending_jobs"] = *inputs.pendingJobs;
+        } else {
+            j["pending_jobs_unknown_because"] = inputs.pendingJobs.error().message;
+        }
     }
     return j;
 }
--- a/packages/fleet/statuspages.h
+++ b/packages/fleet/statuspages.h
@@ -6,6 +6,8 @@
 #include "fleet/ownership.h"
 #include "http/httpmessage.h"
 
+#include <cstddef>
+#include <map>
 #include <string>
 
 namespace acaciadeal {
@@ -20,6 +22,8 @@
     const OperatorView *view = nullptr;
     /// nullptr in a daemon that is not the holder.
     const Dispatcher *dispatcher = nullptr;
+    /// Pending jobs by queue, or why this daemon cannot give them.
+    Result<std::map<std::string, std::size_t>> pendingJobs{};
     TimePoint now;
 };
 
--- a/packages/fleet/statuspages_test.cpp
+++ b/packages/fleet/statuspages_test.cpp
@@ -29,10 +29,12 @@
     StatusInputs inputs{.daemon = {"d1"},
                         .owner = owner,
                         .dispatcher = &dispatcher,
+                        .pendingJobs = pendingJobsByQueue(dispatcher),
                         .now = start + milliseconds(500)};
     const json status = json::parse(statusPage("/v1/fleet/status", inputs).body);
     CHECK(status["holder"] == "d2");
     CHECK(status["live_jobs"] == 1);
+    CHECK(status["pending_jobs"] == json{{"q", 1}});
     const json job = json::parse(statusPage("/v1/fleet/jobs/j", inputs).body);
     CHECK(job["state"] == "queued");
     CHECK(job["steps"][0]["waits_because"]
@@ -41,6 +43,10 @@
     CHECK(json::parse(statusPage("/v1/fleet/hosts/h", inputs).body)["cores"] == 2);
     CHECK(json::parse(statusPage("/v1/fleet/hosts/x", inputs).body)["code"]
           == static_cast<int>(ResultCode::UnknownHost));
+    inputs.pendingJobs = failure(ResultCode::PlatformUnavailable, "still recovering");
+    const json unknown = json::parse(statusPage("/v1/fleet/status", inputs).body);
+    CHECK_FALSE(unknown.contains("pending_jobs"));
+    CHECK(unknown["pending_jobs_unknown_because"] == "still recovering");
     inputs.dispatcher = nullptr;
     const json elsewhere = json::parse(statusPage("/v1/fleet/jobs/j", inputs).body);
     CHECK(elsewhere["code"] == static_cast<int>(ResultCode::NotHolder));
