Compare counts of pending jobs and states in the soak with what callers and hosts saw

Why the soak missed the MIXED incident: it never asked for `pending`, took any state but `completed` as it was, had no job that waits for 5 s, and asked a random daemon only.

Change: every daemon is asked for the count, for states of recent jobs and of ids that nobody submitted, and the answers are compared. All hosts reject starts for 5.5 to 8 s at times.

--- a/tests/soak/hoststandin.cpp
+++ b/tests/soak/hoststandin.cpp
@@ -98,6 +98,11 @@
     m_delayedOrderShare = share;
 }
 
+void HostStandin::setRejection(Rejection rejection)
+{
+    m_rejection = rejection;
+}
+
 void HostStandin::setStalled(bool stalled)
 {
     m_stalled = stalled;
@@ -191,7 +196,10 @@
     }
     m_fencingToken = token;
     if (path == "/acaciadeal/run-start") {
-        return startRun(call);
+        if (m_rejection == Rejection::Unhealthy) {
+            return answer(json::object(), 503);
+        }
+        return m_rejection == Rejection::NoRoom ? conflict("room") : startRun(call);
     }
     if (path == "/acaciadeal/run-stop") {
         const TaskName task = call.at("task");
--- a/tests/soak/hoststandin.h
+++ b/tests/soak/hoststandin.h
@@ -49,6 +49,10 @@
     void crash();
     /// Sets the share of the orders that get no answer and are executed 2 to 5 s later.
     void setDelayedOrderShare(double share);
+    /// How start orders are refused: not at all, with status 503 as by a host that considers itself
+    /// unhealthy, or for lack of room.
+    enum class Rejection : std::uint8_t { None, Unhealthy, NoRoom };
+    void setRejection(Rejection rejection);
     /// While set, tasks make no progress.
     void setStalled(bool stalled);
     /// Adds so many ends of runs of a forgotten job to the list of unacknowledged ends that the
@@ -107,6 +111,7 @@
     int m_heldOrders = 0;
     std::uint64_t m_endCount = 0;
     double m_delayedOrderShare = 0;
+    Rejection m_rejection = Rejection::None;
     bool m_stalled = false;
     TimePoint m_lastTickAt;
 };
--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -8,6 +8,13 @@
 
 /// Time within which every daemon must know an accepted job, as required by users: 3 s.
 constexpr Duration visibilityTimeout = std::chrono::seconds(3);
+/// Age that a count of pending jobs may have, as users accept it.
+constexpr Duration maxCountAge = std::chrono::seconds(2);
+
+bool isEnded(const std::string &state)
+{
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
 
 } // namespace
 
@@ -119,6 +126,14 @@
         }
         return;
     }
+    if (isEnded(state) && !record.endSeenAt) {
+        record.endSeenAt = now;
+    }
+    if (state == "in_progress" && !record.started) {
+        reportViolation("MIXED", job + " is reported as in progress, but no host has started it");
+    } else if (!state.empty() && !isEnded(state) && state != "queued" && state != "in_progress") {
+        reportViolation("MIXED", job + " is reported with the unreadable state \"" + state + "\"");
+    }
     if (state == "completed") {
         record.completed = true;
         for (std::size_t step = 0; step < record.steps.size(); ++step) {
@@ -134,6 +149,41 @@
     }
 }
 
+void InvariantChecker::onUnknownJobShown(const std::string &daemon, const std::string &id)
+{
+    reportViolation("MIXED", daemon + " shows a state of " + id + ", which nobody submitted");
+}
+
+void InvariantChecker::onPendingCount(const std::string &daemon, std::size_t count,
+                                      TimePoint askedAt)
+{
+    std::size_t waiting = 0;
+    std::size_t notEnded = 0;
+    for (const auto &[id, job] : jobs) {
+        waiting += job.accepted && !job.started && !job.cancelled
+                           && askedAt - job.acceptedAt > visibilityTimeout + maxCountAge
+                       ? 1
+                       : 0;
+        notEnded += job.endSeenAt && askedAt - *job.endSeenAt > maxCountAge ? 0 : 1;
+    }
+    const std::string answer =
+        daemon + " says that " + std::to_string(count) + " jobs are pending, ";
+    if (2 * count < waiting) {
+        reportViolation("MIXED", answer + std::to_string(waiting) + " have waited for over 5 s");
+    }
+    if (count > notEnded) {
+        reportViolation("MIXED", answer + std::to_string(notEnded) + " have not ended");
+    }
+}
+
+void InvariantChecker::onFinalPendingCount(const std::string &daemon, std::size_t count)
+{
+    if (count > 0) {
+        reportViolation("MIXED", daemon + " says that " + std::to_string(count)
+                                     + " jobs are pending after all of them had time to end");
+    }
+}
+
 void InvariantChecker::checkFinalState()
 {
     for (const auto &[id, job] : jobs) {
--- a/tests/soak/invariantchecker.h
+++ b/tests/soak/invariantchecker.h
@@ -5,12 +5,16 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace acaciadeal::soak {
 
+/// Time without a disturbance after which users hold a daemon to guarantees with a time limit.
+inline constexpr Duration contactTimeout = std::chrono::seconds(3);
+
 /// Name of a task in the hosts' protocol: "job.occurrence.step.index".
 using TaskName = std::string;
 
@@ -35,6 +39,9 @@
     bool deniedAfterCancel = false;
     bool completed = false;
     bool failed = false;
+    /// When a caller first saw that the job had ended; unset before.
+    std::optional<TimePoint> endSeenAt;
+    /// Whether a host has started a task of the job.
     bool started = false;
 };
 
@@ -57,8 +64,16 @@
                const std::string &outcome);
     /// Records that a daemon acknowledged the end of the run to the host.
     void onEndAcknowledged(const TaskName &task, std::uint64_t run, const std::string &outcome);
-    /// Records the state of the job as a caller saw it; "unknown" if the daemon knew no such job.
+    /// Records the state of the job as a caller saw it; "unknown" if the daemon knew no such job,
+    /// and empty if it gave no answer.
     void onState(const std::string &job, const std::string &state, TimePoint now);
+    /// Records that @p daemon showed a state for an id that no caller submitted.
+    void onUnknownJobShown(const std::string &daemon, const std::string &id);
+    /// Records the count of pending jobs that @p daemon gave for a question sent at @p askedAt.
+    /// Precondition: the daemon was in touch for contactTimeout before the question.
+    void onPendingCount(const std::string &daemon, std::size_t count, TimePoint askedAt);
+    /// Records the count of pending jobs that @p daemon gave after all jobs had time to finish.
+    void onFinalPendingCount(const std::string &daemon, std::size_t count);
     /// Checks the guarantees that must hold after the faults have ended and jobs had time to
     /// finish.
     void checkFinalState();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -46,6 +46,16 @@
 constexpr Duration submitPeriod = milliseconds(120);
 constexpr Duration pollPeriod = milliseconds(600);
 constexpr Duration callTimeout = milliseconds(3000);
+constexpr Duration askPeriod = milliseconds(500);
+/// Daemons are asked for the states of this many of the latest jobs: those of about 48 s, as states
+/// of jobs that ended over 120 s ago may be gone.
+constexpr std::uint64_t maxAskedJobAge = 400;
+/// Time for which all hosts reject starts: longer than the 5 s after which a job that waits has to
+/// be counted.
+constexpr int minRejectionMs = 5500;
+constexpr int rejectionSpreadMs = 2500;
+constexpr int minRejectionGapMs = 3000;
+constexpr int rejectionGapSpreadMs = 9000;
 /// With up to six connections of each holder, as many as leave some of a host's connections free.
 constexpr int maxPowerLosses = 3;
 constexpr int oddRowDepth = 2000;
@@ -73,6 +83,9 @@
     TimePoint startedAt;
     /// When SIGTERM was sent to the current process.
     std::optional<TimePoint> stoppingSince;
+    /// Since when neither the process nor its link to the store has been disturbed; in the future
+    /// while a disturbance lasts.
+    TimePoint calmSince;
     Endpoint endpoint() const
     {
         return *parseEndpoint(httpPort.endpoint());
@@ -121,6 +134,16 @@
     void submitJob(const std::string &id, int attempt);
     void pollJob(const std::string &id);
     void cancelJob(const std::string &id);
+    /// Asks every daemon for the number of pending jobs and for the state of some jobs.
+    void askDaemons();
+    void askPendingCount(const Daemon &daemon, std::function<void(std::size_t)> callback);
+    void askState(const Daemon &daemon);
+    void askUnknownState(const Daemon &daemon);
+    /// Returns the state in an answer; empty if there was none, "unknown" if there is no such job.
+    std::string stateIn(const HttpOutcome &outcome);
+    void finish(const std::function<void()> &finished);
+    std::string jobId(int n) const;
+    /// Returns a request about the job @p id, or about the queue if it is empty.
     HttpRequest jobRequest(const std::string &method, const std::string &id) const;
     /// Reports a violation if a connection was lost after the request was sent, while no fault but
     /// planned restarts had been injected.
@@ -130,6 +153,7 @@
     void injectNextFault();
     void injectNextScarcity();
     void losePowerOfHolder();
+    void rejectStarts();
     void addOddHostRow();
     void injectDaemonFault();
     void injectHostFault();
@@ -142,6 +166,10 @@
     std::mt19937_64 m_random;
     /// Generator of the faults of injectNextScarcity(), so that they do not change the other ones.
     std::mt19937_64 m_scarcityRandom{m_options.seed};
+    /// Generators of the daemons' questions and of the times of rejectStarts(), for the same
+    /// reason.
+    std::mt19937_64 m_questionRandom{m_options.seed};
+    std::mt19937_64 m_rejectionRandom{m_options.seed};
     int m_powerLosses = 0;
     /// Number of refused connections that were reported already, by host.
     std::vector<std::size_t> m_refusedConnections;
@@ -160,6 +188,8 @@
     bool m_submitting = true;
     bool m_finished = false;
     int m_jobs = 0;
+    /// Number of counts of pending jobs that daemons gave.
+    int m_pendingCounts = 0;
     std::uint64_t m_configVersion = 1;
 };
 
@@ -240,6 +270,7 @@
 {
     daemon.paused = false;
     daemon.startedAt = Clock::now();
+    daemon.calmSince = std::max(daemon.calmSince, daemon.startedAt);
     daemon.stoppingSince.reset();
     daemon.process = std::make_unique<Process>(
         std::vector<std::string>{ACACIADEAL_DAEMON, "--settings", daemon.settingsFile},
@@ -303,6 +334,14 @@
     runAfter(milliseconds(50), [this] { superviseDaemons(); });
 }
 
+std::string Soak::jobId(int n) const
+{
+    char id[17];
+    std::snprintf(id, sizeof id, "%08x%08x", static_cast<unsigned>(m_options.seed),
+                  static_cast<unsigned>(n));
+    return id;
+}
+
 HttpRequest Soak::jobRequest(const std::string &method, const std::string &id) const
 {
     return {.method = method,
@@ -315,10 +354,8 @@
     if (!m_submitting) {
         return;
     }
-    char id[17];
-    std::snprintf(id, sizeof id, "%08x%08x", static_cast<unsigned>(m_options.seed),
-                  static_cast<unsigned>(++m_jobs));
-    JobRecord job{.payload = std::string("payload of ") + id};
+    const std::string id = jobId(++m_jobs);
+    JobRecord job{.payload = "payload of " + id};
     const int steps = 1 + randomBelow(2);
     for (int n = 0; n < steps; ++n) {
         job.steps.push_back({.tasks = 1 + randomBelow(5),
@@ -328,7 +365,7 @@
     m_checker.jobs[id] = std::move(job);
     submitJob(id, 1);
     if (randomBelow(12) == 0) {
-        runAfter(randomDuration(300, 2500), [this, text = std::string(id)] { cancelJob(text); });
+        runAfter(randomDuration(300, 2500), [this, id] { cancelJob(id); });
     }
     runAfter(submitPeriod, [this] { submitNextJob(); });
 }
@@ -389,12 +426,7 @@
     m_client.send(daemon.endpoint(), jobRequest("GET", id), {.timeout = callTimeout},
                   [this, id, &daemon](const HttpOutcome &outcome) {
                       checkConnectionLoss(daemon, id, outcome);
-                      std::string state;
-                      if (outcome.response && outcome.response->status == 200) {
-                          state = json::parse(outcome.response->body).value("state", "");
-                      } else if (outcome.response && outcome.response->status == 410) {
-                          state = "unknown";
-                      }
+                      const std::string state = stateIn(outcome);
                       m_checker.onState(id, state, Clock::now());
                       const bool ended =
                           state == "completed" || state == "failed" || state == "cancelled";
@@ -421,6 +453,85 @@
                   });
 }
 
+std::string Soak::stateIn(const HttpOutcome &outcome)
+{
+    const unsigned status = outcome.response ? outcome.response->status : 0;
+    if (status != 200) {
+        return status == 410 ? "unknown" : "";
+    }
+    const json answer = json::parse(outcome.response->body, nullptr, false);
+    const bool readable = answer.is_object() && answer.contains("state")
+                          && answer["state"].is_string() && answer["state"] != "";
+    return readable ? answer["state"].get<std::string>() : "unreadable: " + outcome.response->body;
+}
+
+void Soak::askPendingCount(const Daemon &daemon, std::function<void(std::size_t)> callback)
+{
+    m_client.send(
+        daemon.endpoint(), jobRequest("GET", ""), {.timeout = callTimeout},
+        [this, name = daemon.name, callback = std::move(callback)](const HttpOutcome &outcome) {
+            if (!outcome.response || outcome.response->status != 200) {
+                return;
+            }
+            const json answer = json::parse(outcome.response->body, nullptr, false);
+            if (answer.is_object() && answer.contains("pending")
+                && answer["pending"].is_number_unsigned()) {
+                ++m_pendingCounts;
+                callback(answer["pending"]);
+            } else {
+                m_checker.reportViolation(
+                    "MIXED", name + " gave an unreadable count: " + outcome.response->body);
+            }
+        });
+}
+
+void Soak::askState(const Daemon &daemon)
+{
+    if (m_jobs == 0) {
+        return;
+    }
+    const auto age = static_cast<int>(m_questionRandom() % maxAskedJobAge);
+    const std::string id = jobId(std::max(m_jobs - age, 1));
+    m_client.send(daemon.endpoint(), jobRequest("GET", id), {.timeout = callTimeout},
+                  [this, id](const HttpOutcome &outcome) {
+                      m_checker.onState(id, stateIn(outcome), Clock::now());
+                  });
+}
+
+void Soak::askUnknownState(const Daemon &daemon)
+{
+    char id[17];
+    std::snprintf(id, sizeof id, "ffffffff%08x", static_cast<unsigned>(m_questionRandom()));
+    m_client.send(daemon.endpoint(), jobRequest("GET", id), {.timeout = callTimeout},
+                  [this, name = daemon.name, id = std::string(id)](const HttpOutcome &outcome) {
+                      if (outcome.response && outcome.response->status == 200) {
+                          m_checker.onUnknownJobShown(name, id);
+                      }
+                  });
+}
+
+void Soak::askDaemons()
+{
+    if (m_finished) {
+        return;
+    }
+    for (const auto &daemon : m_daemons) {
+        const TimePoint askedAt = Clock::now();
+        askPendingCount(*daemon, [this, &daemon = *daemon, askedAt](std::size_t count) {
+            const bool inTouch = !daemon.paused && !daemon.stoppingSince
+                                 && askedAt - daemon.calmSince >= contactTimeout;
+            if (inTouch) {
+                m_checker.onPendingCount(daemon.name, count, askedAt);
+            }
+        });
+        askState(*daemon);
+        if (m_questionRandom() % 4 == 0) {
+            askUnknownState(*daemon);
+        }
+    }
+    runAfter(askPeriod, [this] { askDaemons(); });
+}
+
 void Soak::injectDaemonFault()
 {
     Daemon &daemon = *m_daemons[static_cast<std::size_t>(randomBelow(m_options.daemons))];
@@ -443,6 +554,7 @@
                     logEvent("resume " + daemon.name);
                     daemon.process->signal(SIGCONT);
                     daemon.paused = false;
+                    daemon.calmSince = std::max(daemon.calmSince, Clock::now());
                 }
             });
         }
@@ -528,6 +640,8 @@
         }
         const auto caller = static_cast<std::size_t>(n);
         Proxy &link = *m_daemons[caller]->storeLink;
+        TimePoint &calmSince = m_daemons[caller]->calmSince;
+        calmSince = std::max(calmSince, Clock::now() + faultDuration);
         const StoreFault faults[] = {{.refusalStatus = randomBelow(2) == 0 ? 503U : 429U},
                                      {.lostAnswerShare = 0.4},
                                      {.delayedWriteShare = 0.3},
@@ -632,6 +746,30 @@
     runAfter(milliseconds(1000 + m_scarcityRandom() % 3000), [this] { injectNextScarcity(); });
 }
 
+/// Makes all hosts reject starts for a while, so that every job that arrives meanwhile waits.
+void Soak::rejectStarts()
+{
+    const auto gap = milliseconds(minRejectionGapMs + m_rejectionRandom() % rejectionGapSpreadMs);
+    runAfter(gap, [this] {
+        if (!m_submitting) {
+            return;
+        }
+        const bool unhealthy = m_rejectionRandom() % 2 == 0;
+        logEvent(std::string("all hosts reject starts, ") + (unhealthy ? "unhealthy" : "no room"));
+        for (const auto &host : m_hosts) {
+            host->setRejection(unhealthy ? HostStandin::Rejection::Unhealthy
+                                         : HostStandin::Rejection::NoRoom);
+        }
+        runAfter(milliseconds(minRejectionMs + m_rejectionRandom() % rejectionSpreadMs), [this] {
+            logEvent("all hosts accept starts again");
+            for (const auto &host : m_hosts) {
+                host->setRejection(HostStandin::Rejection::None);
+            }
+            rejectStarts();
+        });
+    });
+}
+
 void Soak::stopDaemonsInTurn(std::size_t n)
 {
     if (n == m_daemons.size()) {
@@ -639,6 +777,7 @@
             m_onlyPlannedRestarts = false;
             injectNextFault();
             injectNextScarcity();
+            rejectStarts();
         });
         return;
     }
@@ -657,16 +796,37 @@
         if (m_daemons[n]->paused) {
             m_daemons[n]->process->signal(SIGCONT);
             m_daemons[n]->paused = false;
+            m_daemons[n]->calmSince = std::max(m_daemons[n]->calmSince, Clock::now());
         }
     }
     for (std::size_t n = 0; n < m_hosts.size(); ++n) {
         m_hosts[n]->setDelayedOrderShare(0);
+        m_hosts[n]->setRejection(HostStandin::Rejection::None);
         m_hosts[n]->setStalled(false);
         m_hostLinks[n]->setFault({});
         registerHost(n, false);
     }
 }
 
+/// Checks the final state, asks every daemon for its last count of pending jobs, and then ends the
+/// daemons and calls @p finished.
+void Soak::finish(const std::function<void()> &finished)
+{
+    m_finished = true;
+    m_checker.checkFinalState();
+    for (const auto &daemon : m_daemons) {
+        askPendingCount(*daemon, [this, name = daemon->name](std::size_t count) {
+            m_checker.onFinalPendingCount(name, count);
+        });
+    }
+    runAfter(callTimeout, [this, finished] {
+        for (const auto &daemon : m_daemons) {
+            daemon->process->kill();
+        }
+        finished();
+    });
+}
+
 bool Soak::run()
 {
     std::promise<void> finished;
@@ -676,6 +836,7 @@
     });
     m_loop.postAfter(startupTime, [this] {
         submitNextJob();
+        askDaemons();
         stopDaemonsInTurn(0);
     });
     const Duration rolling =
@@ -684,14 +845,8 @@
         endFaults();
         // The effects of the last faults may last as long as a lease; after that, every job must
         // end.
-        runAfter(shutdownGracePeriod + finishTimeout, [this, &finished] {
-            m_finished = true;
-            m_checker.checkFinalState();
-            for (const auto &daemon : m_daemons) {
-                daemon->process->kill();
-            }
-            finished.set_value();
-        });
+        runAfter(shutdownGracePeriod + finishTimeout,
+                 [this, &finished] { finish([&finished] { finished.set_value(); }); });
     });
     finished.get_future().wait();
     m_loop.stop();
@@ -707,7 +862,10 @@
     if (completed == 0) {
         std::cout << "no job completed\n";
     }
-    return m_checker.violations.empty() && completed > 0;
+    if (m_pendingCounts == 0) {
+        std::cout << "no daemon gave a count of pending jobs\n";
+    }
+    return m_checker.violations.empty() && completed > 0 && m_pendingCounts > 0;
 }
 
 } // namespace
