Count pending jobs in constant time

Suspected, not shown: hundreds of daemons ask the one holder for counts, and each question went over all live jobs twice and wrote a log line; each status line went over all tasks. A holder with too little processor time answers late, and its orders time out.

Change: the counts of each queue are kept up to date with the jobs. A holder logs the count of a queue at most once a second; the daemon that is asked still logs each answer. Orders without an answer are counted where they are sent.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -82,7 +82,7 @@
     if (isTerminal(job.progress.outcome)) {
         return;
     }
-    job.progress.outcome = outcome;
+    updateQueueCounts(dispatcher.fleet, job, [&] { job.progress.outcome = outcome; });
     dispatcher.fleet.dirty.insert(job.spec.id);
     job.endedAt = now;
     dispatcher.fleet.ended.push_back(job.spec.id);
@@ -205,10 +205,18 @@
     }
 }
 
+/// Records that a task of the job is known to have started.
+void confirmStart(Dispatcher &dispatcher, JobRuntime &job)
+{
+    if (!job.startConfirmed) {
+        updateQueueCounts(dispatcher.fleet, job, [&job] { job.startConfirmed = true; });
+    }
+}
+
 /// Records that a host has confirmed a run of the task.
-void recordRun(JobRuntime &job, TaskRuntime &task)
+void recordRun(Dispatcher &dispatcher, JobRuntime &job, TaskRuntime &task)
 {
-    job.startConfirmed = true;
+    confirmStart(dispatcher, job);
     task.hasRun = true;
 }
 
@@ -226,7 +234,7 @@
     if (job == nullptr || task == nullptr) {
         return;
     }
-    recordRun(*job, *task);
+    recordRun(dispatcher, *job, *task);
     addEvent(dispatcher, {.kind = DispatchEvent::Kind::RunEnded,
                           .job = ended.task.job,
                           .taskName = describe(ended.task),
@@ -304,7 +312,7 @@
     TaskRuntime *const task = findTask(dispatcher.fleet, active.task);
     const bool known = job != nullptr && task != nullptr;
     if (known) {
-        recordRun(*job, *task);
+        recordRun(dispatcher, *job, *task);
     }
     if (known && task->phase == TaskPhase::Waiting && active.run > task->run
         && !isTerminal(job->progress.outcome)) {
@@ -442,7 +450,9 @@
     task.phaseSince = now;
     task.progressedAt = now;
     --job.steps[key.step].waiting;
-    job.startOrdered = true;
+    if (!job.startOrdered) {
+        updateQueueCounts(dispatcher.fleet, job, [&job] { job.startOrdered = true; });
+    }
     addRun(host, job, key, task.run);
     if (stepOf(job, key).tailLatencyTarget.count() > 0) {
         dispatcher.fleet.longRunningSpareMilliCores -=
@@ -562,6 +572,7 @@
     }
     job->startConfirmed = showsStart(job->progress);
     unblockSteps(*job);
+    countJob(dispatcher.fleet, *job, true);
     const JobId id = job->spec.id;
     dispatcher.fleet.jobs.emplace(id, std::move(job));
 }
@@ -586,7 +597,6 @@
     JobProgress &progress = runtime->progress;
     const JobState outcome = progress.outcome;
     merge(progress, stored);
-    runtime->startConfirmed = runtime->startConfirmed || showsStart(progress);
     for (std::size_t n = 0; n < runtime->steps.size(); ++n) {
         markWaitingTasksDone(runtime->steps[n], progress.steps[n]);
     }
@@ -595,6 +605,9 @@
         return;
     }
     const JobState merged = std::exchange(progress.outcome, outcome);
+    if (showsStart(progress)) {
+        confirmStart(dispatcher, *runtime);
+    }
     if (isTerminal(merged)) {
         endJob(dispatcher, *runtime, merged, "an earlier holder had ended the job", now);
     } else {
@@ -639,7 +652,7 @@
     FleetHost *const host = findHost(dispatcher.fleet, order.host);
     if (job != nullptr && task != nullptr && outcome == StartOutcome::Started) {
         // Also if the run is not the current one any more: it has started nevertheless.
-        recordRun(*job, *task);
+        recordRun(dispatcher, *job, *task);
     }
     if (job == nullptr || task == nullptr || !isCurrentRun(*task, order.host, order.run)
         || task->phase != TaskPhase::Starting) {
@@ -748,20 +761,15 @@
 
 std::size_t pendingJobs(const Dispatcher &dispatcher, const std::string &queue)
 {
-    std::size_t n = 0;
-    for (const JobRuntime *const job : dispatcher.fleet.liveJobs) {
-        if (job->spec.terms.queue == queue && stateOf(*job) == JobState::Queued) {
-            ++n;
-        }
-    }
-    return n;
+    const auto it = dispatcher.fleet.queues.find(queue);
+    return it == dispatcher.fleet.queues.end() ? 0 : it->second.pending;
 }
 
 std::map<std::string, std::size_t> pendingJobsByQueue(const Dispatcher &dispatcher)
 {
     std::map<std::string, std::size_t> pending;
-    for (const JobRuntime *const job : dispatcher.fleet.liveJobs) {
-        pending[job->spec.terms.queue] += stateOf(*job) == JobState::Queued ? 1 : 0;
+    for (const auto &[queue, counts] : dispatcher.fleet.queues) {
+        pending[queue] = counts.pending;
     }
     return pending;
 }
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -515,6 +515,60 @@
     CHECK_FALSE(plan(dispatcher, at(300)).starts.empty());
 }
 
+// Guards against counts that drift away from the jobs they are made of.
+TEST_CASE("the counts of a queue are those of its live jobs")
+{
+    std::mt19937 random(20261205);
+    const auto draw = [&random](int below) {
+        return static_cast<int>(random() % static_cast<unsigned>(below));
+    };
+    const std::array outcomes{StartOutcome::Started, StartOutcome::Started, StartOutcome::NoRoom,
+                              StartOutcome::Unknown, StartOutcome::NotSent};
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1");
+    addHost(dispatcher, "h2");
+    std::map<std::string, std::uint64_t> ends;
+    for (int n = 0; n < 600; ++n) {
+        CAPTURE(n);
+        const TimePoint now = at(100 * n);
+        const std::string id = "j" + std::to_string(n);
+        JobSpec spec = job(id, {step(1 + static_cast<std::uint32_t>(draw(3)), 3000)});
+        spec.terms.queue = draw(2) == 0 ? "q" : "other";
+        add(dispatcher, spec, now);
+        for (const StartRun &order : plan(dispatcher, now).starts) {
+            applyStartOutcome(dispatcher, order, outcomes[static_cast<std::size_t>(draw(5))], now);
+        }
+        const std::string host = draw(2) == 0 ? "h1" : "h2";
+        const auto &runs = dispatcher.fleet.hosts[{host}].runs;
+        const std::string other = "j" + std::to_string(draw(n + 1));
+        if (draw(8) == 0) {
+            declareRunsLost(dispatcher, {host}, "test", now);
+        } else if (draw(8) == 0) {
+            cancelJob(dispatcher, {other}, now);
+        } else if (draw(8) == 0) {
+            JobProgress progress = findJob(dispatcher.fleet, {other})->progress;
+            progress.steps[0].failedRuns[0] = {1};
+            progress.outcome = draw(3) == 0 ? JobState::Completed : progress.outcome;
+            mergeProgress(dispatcher, {other}, progress, now);
+        } else if (!runs.empty()) {
+            const auto [task, run] = *runs.begin();
+            const RunEnd how = draw(3) == 0 ? RunEnd::Failed : RunEnd::Done;
+            report(dispatcher, host,
+                   {{.number = ++ends[host], .task = task, .run = run, .end = how}}, now);
+        }
+        std::map<std::string, QueueCounts> expected;
+        for (const JobRuntime *const live : dispatcher.fleet.liveJobs) {
+            QueueCounts &counts = expected[live->spec.terms.queue];
+            ++counts.live;
+            counts.pending += stateOf(*live) == JobState::Queued ? 1 : 0;
+            counts.unconfirmed += live->startOrdered && !live->startConfirmed ? 1 : 0;
+        }
+        REQUIRE(dispatcher.fleet.queues == expected);
+    }
+    CHECK(dispatcher.fleet.ended.size() > 100);
+    CHECK_FALSE(dispatcher.fleet.queues.empty());
+}
+
 // Guards against long-running tasks of which only orders exist, and which take the room that is
 // kept for those that lost their hosts.
 TEST_CASE("a long-running task whose starts were refused is not a restart")
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -1,6 +1,5 @@
 #include "dispatch/fleetstate.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciadeal {
@@ -24,19 +23,6 @@
     host.committed = sign > 0 ? host.committed + size : host.committed - size;
 }
 
-void addUnansweredOrders(FleetSummary &sum, const StepRuntime &step)
-{
-    for (const TaskRuntime &task : step.tasks) {
-        if (task.phase != TaskPhase::Starting) {
-            continue;
-        }
-        sum.oldestOrderAt = sum.unansweredOrders == 0
-                                ? task.phaseSince
-                                : std::min(sum.oldestOrderAt, task.phaseSince);
-        ++sum.unansweredOrders;
-    }
-}
-
 } // namespace
 
 const TaskRuntime *findTask(const FleetState &fleet, const TaskKey &task)
@@ -79,6 +65,23 @@
     return job.startConfirmed ? JobState::Running : JobState::Queued;
 }
 
+void countJob(FleetState &fleet, const JobRuntime &job, bool adds)
+{
+    if (isTerminal(job.progress.outcome)) {
+        return;
+    }
+    QueueCounts &counts = fleet.queues[job.spec.terms.queue];
+    const auto add = [adds](std::size_t &count, bool applies) {
+        count = applies ? (adds ? count + 1 : count - 1) : count;
+    };
+    add(counts.live, true);
+    add(counts.pending, !job.startConfirmed);
+    add(counts.unconfirmed, job.startOrdered && !job.startConfirmed);
+    if (counts.live == 0) {
+        fleet.queues.erase(job.spec.terms.queue);
+    }
+}
+
 bool isUsable(const FleetState &fleet, const FleetHost &host)
 {
     return host.listed && host.reported && host.reachable && !host.leaving
@@ -106,16 +109,17 @@
         sum.backfillMilliCores += host.backfillMilliCores;
     }
     for (const JobRuntime *const job : fleet.liveJobs) {
-        sum.pendingJobs += stateOf(*job) == JobState::Queued ? 1 : 0;
-        sum.unconfirmedJobs += job->startOrdered && !job->startConfirmed ? 1 : 0;
         for (std::size_t n = 0; n < job->steps.size(); ++n) {
             if (job->steps[n].dependenciesDone) {
                 sum.waitingTasks += job->steps[n].waiting;
                 sum.waitingBackfillTasks += job->spec.steps[n].backfill ? job->steps[n].waiting : 0;
-                addUnansweredOrders(sum, job->steps[n]);
             }
         }
     }
+    for (const auto &[queue, counts] : fleet.queues) {
+        sum.pendingJobs += counts.pending;
+        sum.unconfirmedJobs += counts.unconfirmed;
+    }
     return sum;
 }
 
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -178,6 +178,18 @@
     bool backfillPaused = false;
 };
 
+/// Numbers of the live jobs of a queue.
+struct QueueCounts
+{
+    std::size_t live = 0;
+    /// Jobs that callers see as queued.
+    std::size_t pending = 0;
+    /// Pending jobs with start orders.
+    std::size_t unconfirmed = 0;
+
+    friend bool operator==(const QueueCounts &, const QueueCounts &) = default;
+};
+
 /// Scheduling state of a shard's holder. Not thread-safe; used by one control thread.
 struct FleetState
 {
@@ -205,6 +217,8 @@
     std::map<JobId, double> pendingJobWork;
     /// Jobs that are not in a terminal state.
     std::vector<JobRuntime *> liveJobs;
+    /// Counts of liveJobs, by queue; see updateQueueCounts().
+    std::map<std::string, QueueCounts> queues;
     /// Jobs in a terminal state that may still have runs on hosts.
     std::set<JobId> stoppingJobs;
     /// Tasks of live jobs whose runs are being stopped, either to start on another host or because
@@ -228,6 +242,22 @@
 /// Returns the job's state as reported to callers.
 JobState stateOf(const JobRuntime &job);
 
+/// Calls @p change and updates the counts of the job's queue. Everything that changes whether a job
+/// is live, pending or unconfirmed is done through this function.
+template<typename Change>
+void updateQueueCounts(FleetState &fleet, JobRuntime &job, const Change &change);
+
+/// Adds the job to the counts of its queue, or subtracts it, if it is live.
+void countJob(FleetState &fleet, const JobRuntime &job, bool adds);
+
+template<typename Change>
+void updateQueueCounts(FleetState &fleet, JobRuntime &job, const Change &change)
+{
+    countJob(fleet, job, false);
+    change();
+    countJob(fleet, job, true);
+}
+
 /// Totals over all hosts and jobs, for logs and status pages.
 struct FleetSummary
 {
@@ -242,13 +272,9 @@
     /// Waiting tasks whose step's dependencies are done, and how many of them are backfill tasks.
     std::size_t waitingTasks = 0;
     std::size_t waitingBackfillTasks = 0;
-    /// Jobs that callers see as queued.
+    /// Totals over the queues.
     std::size_t pendingJobs = 0;
-    /// Live jobs with start orders, of which no host has confirmed that a task started.
     std::size_t unconfirmedJobs = 0;
-    /// Start orders without an answer, and when the oldest of them was made.
-    std::size_t unansweredOrders = 0;
-    TimePoint oldestOrderAt;
 };
 
 FleetSummary summarize(const FleetState &fleet);
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -326,7 +326,7 @@
     }
 
     /// Returns the holder's count of pending jobs of queue "q"; -1 if it gives none.
-    int pendingCount(const FleetHolder &holder)
+    int pendingCount(FleetHolder &holder)
     {
         return onLoop(loop, [&holder] {
             const auto n = holder.countPendingJobs("q");
@@ -1261,7 +1261,7 @@
 TEST_CASE("a daemon that may not act as the holder gives no count of pending jobs")
 {
     Cluster cluster(1);
-    const FleetHolder &holder = cluster.startHolder(1);
+    FleetHolder &holder = cluster.startHolder(1);
     REQUIRE(eventually(cluster.loop, [&] { return holder.countPendingJobs("q").has_value(); }));
     cluster.runOnLoop([&] { cluster.mayAct[1] = false; });
     // The next holder's daemon stores it and cannot tell this one.
@@ -1277,7 +1277,7 @@
 {
     Cluster cluster(0);
     cluster.maxCountAge = milliseconds(300);
-    const FleetHolder &holder = cluster.startHolder(1);
+    FleetHolder &holder = cluster.startHolder(1);
     REQUIRE(eventually(cluster.loop, [&] { return holder.countPendingJobs("q").has_value(); }));
     cluster.runOnLoop([&] { cluster.changesTimeout = milliseconds(20); });
     cluster.submit(oneTaskJob("j"));
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -34,6 +34,8 @@
 /// time in which ended runs become durable.
 constexpr Duration maxReportAge = milliseconds(150);
 constexpr std::size_t maxJobsPerCleanup = 20;
+/// Shortest time between two log lines with the count of pending jobs of one queue.
+constexpr Duration countLogPeriod = std::chrono::seconds(1);
 constexpr const char *modelTable = "model";
 constexpr const char *modelKey = "model/main";
 
@@ -147,6 +149,7 @@
 
     internal::HolderView view() const;
     Result<void> checkKnowsAllJobs() const;
+    void logCount(const std::string &queue, const Result<std::size_t> &pending);
     HostCall callFor(const HostLink &link) const;
     template<typename Function>
     auto guarded(Function function);
@@ -178,6 +181,11 @@
     std::uint64_t jobChangesTimer = 0;
     /// During recovery: since when the runs on all hosts are known; unset while they are not.
     std::optional<TimePoint> allHostsKnownAt;
+    /// When the start orders without an answer were sent, by their numbers.
+    std::map<std::uint64_t, TimePoint> unansweredOrders;
+    std::uint64_t lastOrder = 0;
+    /// When counts of pending jobs were last logged, by queue.
+    std::map<std::string, TimePoint> countsLoggedAt;
     /// Whether the job and progress tables have been read.
     bool loaded = false;
     /// Whether recovery has finished, so that tasks that no host reported are known not to run.
@@ -205,7 +213,23 @@
 {
     return {.mayAct = env.mayAct(),
             .jobsReadAt =
-                jobChangesReadAt == TimePoint() ? std::nullopt : std::optional(jobChangesReadAt)};
+                jobChangesReadAt == TimePoint() ? std::nullopt : std::optional(jobChangesReadAt),
+            .unansweredOrders = unansweredOrders.size(),
+            .oldestOrderAt = unansweredOrders.empty()
+                                 ? std::nullopt
+                                 : std::optional(unansweredOrders.begin()->second)};
+}
+
+/// Logs the count of a queue at most once per countLogPeriod: hundreds of daemons may ask in a
+/// second.
+void FleetHolder::Impl::logCount(const std::string &queue, const Result<std::size_t> &pending)
+{
+    const TimePoint now = bootClockNow();
+    const auto [it, added] = countsLoggedAt.try_emplace(queue, now);
+    if (added || now - it->second >= countLogPeriod) {
+        it->second = now;
+        internal::logPendingJobs(dispatcher.fleet, view(), queue, pending, now);
+    }
 }
 
 /// Checks that the jobs in memory are those of the shard, so that they may be counted.
@@ -704,8 +728,11 @@
               {"resumed", order.checkpoint.empty() ? "no" : "yes"}});
     HostCall call = callFor(link);
     call.timeout = std::min(options.startTimeout, options.hostTimeout);
+    unansweredOrders[++lastOrder] = now;
     env.hosts.startRun(call, order, *leaseUntil,
-                       guarded([this, order, now](StartOutcome outcome, const std::string &detail) {
+                       guarded([this, order, now, orderNumber = lastOrder](
+                                   StartOutcome outcome, const std::string &detail) {
+                           unansweredOrders.erase(orderNumber);
                            const TimePoint answeredAt = bootClockNow();
                            env.metrics.count("fleet_start_outcomes_total",
                                              {{"outcome", std::string(startOutcomeName(outcome))}});
@@ -1124,14 +1151,14 @@
     queryState(job, std::move(callback));
 }
 
-Result<std::size_t> FleetHolder::countPendingJobs(const std::string &queue) const
+Result<std::size_t> FleetHolder::countPendingJobs(const std::string &queue)
 {
-    const Impl &impl = *m_impl;
+    Impl &impl = *m_impl;
     Result<std::size_t> n = pendingJobs(impl.dispatcher, queue);
     if (const auto known = impl.checkKnowsAllJobs(); !known) {
         n = tl::unexpected<Error>(known.error());
     }
-    internal::logPendingJobs(impl.dispatcher.fleet, impl.view(), queue, n, bootClockNow());
+    impl.logCount(queue, n);
     return n;
 }
 
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -118,7 +118,7 @@
     /// task. After a change of the holder it may include jobs with tasks on hosts that have not
     /// reported yet. Errors: PlatformUnavailable if this daemon has not read the shard's jobs yet,
     /// has not read changes of them for maxCountAge, or may not act as the holder.
-    Result<std::size_t> countPendingJobs(const std::string &queue) const;
+    Result<std::size_t> countPendingJobs(const std::string &queue);
     /// Returns the counts of all queues with live jobs. Errors: as countPendingJobs().
     Result<std::map<std::string, std::size_t>> countPendingJobsByQueue() const;
 
--- a/packages/fleet/internal/holderlog.cpp
+++ b/packages/fleet/internal/holderlog.cpp
@@ -104,9 +104,8 @@
          {"may_act", view.mayAct ? "yes" : "no"},
          {"pending_jobs", std::to_string(sum.pendingJobs)},
          {"unconfirmed_jobs", std::to_string(sum.unconfirmedJobs)},
-         {"unanswered_orders", std::to_string(sum.unansweredOrders)},
-         {"oldest_order_ms",
-          sum.unansweredOrders == 0 ? "none" : inMilliseconds(now - sum.oldestOrderAt)},
+         {"unanswered_orders", std::to_string(view.unansweredOrders)},
+         {"oldest_order_ms", age(view.oldestOrderAt, now)},
          {"job_table_age_ms", age(view.jobsReadAt, now)},
          {"host_list_age_ms", age(fleet.hostListReadAt, now)},
          {"rounds", std::to_string(ended.rounds)},
@@ -119,19 +118,13 @@
 void logPendingJobs(const FleetState &fleet, const HolderView &view, const std::string &queue,
                     const Result<std::size_t> &pending, TimePoint now)
 {
-    std::size_t live = 0;
-    std::size_t unconfirmed = 0;
-    for (const JobRuntime *const job : fleet.liveJobs) {
-        if (job->spec.terms.queue == queue) {
-            ++live;
-            unconfirmed += job->startOrdered && !job->startConfirmed ? 1 : 0;
-        }
-    }
+    const auto it = fleet.queues.find(queue);
+    const QueueCounts counts = it == fleet.queues.end() ? QueueCounts{} : it->second;
     logEvent(EventId::PendingJobsCounted,
              {{"queue", queue},
               {"answer", pending ? std::to_string(*pending) : pending.error().message},
-              {"live_jobs", std::to_string(live)},
-              {"unconfirmed_jobs", std::to_string(unconfirmed)},
+              {"live_jobs", std::to_string(counts.live)},
+              {"unconfirmed_jobs", std::to_string(counts.unconfirmed)},
               {"may_act", view.mayAct ? "yes" : "no"},
               {"job_table_age_ms", age(view.jobsReadAt, now)}});
 }
--- a/packages/fleet/internal/holderlog.h
+++ b/packages/fleet/internal/holderlog.h
@@ -34,6 +34,9 @@
     bool mayAct = false;
     /// Time as of which all stored jobs are known; unset before the first read.
     std::optional<TimePoint> jobsReadAt;
+    /// Start orders without an answer, and when the oldest of them was sent.
+    std::size_t unansweredOrders = 0;
+    std::optional<TimePoint> oldestOrderAt;
 };
 
 /// Logs totals of the fleet and the statistics of @p rounds, and resets the latter.
--- a/packages/fleet/jobfrontend.cpp
+++ b/packages/fleet/jobfrontend.cpp
@@ -459,7 +459,7 @@
 
 void JobFrontend::countPendingJobs(const std::string &queue, PendingCallback callback)
 {
-    if (const FleetHolder *const holder = m_env.localHolder()) {
+    if (FleetHolder *const holder = m_env.localHolder()) {
         callback(holder->countPendingJobs(queue));
         return;
     }
