Revert "Treat a long-running task as a restart only if it has run"

Mending it needs a delay after unanswered orders and a mark for tasks that an earlier holder may have run.

Result: dispatch_test passes (64 cases).

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -47,12 +47,11 @@
 }
 
 /// Removes the task's run from its host. Sets the task to Done if it is recorded as done, otherwise
-/// to Waiting. Keeps its checkpoint. A start that no host has confirmed does not end the wait
-/// before it.
+/// to Waiting. Keeps its checkpoint.
 void returnToWaiting(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
                      TimePoint now)
 {
-    task.phaseSince = task.startConfirmed ? now : task.waitBeganAt;
+    task.phaseSince = now;
     if (FleetHost *const host = findHost(dispatcher.fleet, task.host)) {
         const auto it = host->runs.find(key);
         if (it != host->runs.end() && it->second == task.run) {
@@ -213,13 +212,6 @@
     }
 }
 
-/// Records that a host has confirmed a run of the task.
-void recordRun(Dispatcher &dispatcher, JobRuntime &job, TaskRuntime &task)
-{
-    confirmStart(dispatcher, job);
-    task.hasRun = true;
-}
-
 bool isCurrentRun(const TaskRuntime &task, const HostId &host, std::uint64_t run)
 {
     return task.host == host && task.run == run && task.phase != TaskPhase::Waiting
@@ -234,7 +226,7 @@
     if (job == nullptr || task == nullptr) {
         return;
     }
-    recordRun(dispatcher, *job, *task);
+    confirmStart(dispatcher, *job);
     addEvent(dispatcher, {.kind = DispatchEvent::Kind::RunEnded,
                           .job = ended.task.job,
                           .taskName = describe(ended.task),
@@ -265,7 +257,6 @@
         task->run = ended.run;
         task->host = host.id;
     }
-    task->startConfirmed = true;
     if (!ended.checkpoint.empty()) {
         task->checkpoint = ended.checkpoint;
     }
@@ -312,7 +303,7 @@
     TaskRuntime *const task = findTask(dispatcher.fleet, active.task);
     const bool known = job != nullptr && task != nullptr;
     if (known) {
-        recordRun(dispatcher, *job, *task);
+        confirmStart(dispatcher, *job);
     }
     if (known && task->phase == TaskPhase::Waiting && active.run > task->run
         && !isTerminal(job->progress.outcome)) {
@@ -335,7 +326,6 @@
         dispatcher.orphanStops.push_back({host.id, active.task, active.run});
         return;
     }
-    task->startConfirmed = true;
     if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
         task->phase = TaskPhase::Running;
         task->phaseSince = now;
@@ -436,10 +426,8 @@
                FleetHost &host, Orders &orders, TimePoint now)
 {
     // The processors that restarts need are not in the spare ones.
-    const bool isRestart = stepOf(job, key).longRunning && task.hasRun;
+    const bool isRestart = stepOf(job, key).longRunning && task.run > 0;
     task.run = std::max(task.run, dispatcher.fleet.runNumberBase) + 1;
-    task.startConfirmed = false;
-    task.waitBeganAt = task.phaseSince;
     task.startedFromScratch = task.checkpoint.empty();
     task.phase = TaskPhase::Starting;
     task.host = host.id;
@@ -483,7 +471,7 @@
     }
     const Duration waited = now - task.phaseSince;
     if (rule == StartRule::Restart) {
-        return task.hasRun && isOverdue(waited)
+        return task.run > 0 && isOverdue(waited)
                && (isRestartUrgent(waited)
                    || hasRoomForTwo(dispatcher.fleet, roomCache, job.spec.terms.service, step));
     }
@@ -650,9 +638,9 @@
     JobRuntime *const job = findJob(dispatcher.fleet, order.task.job);
     TaskRuntime *const task = findTask(dispatcher.fleet, order.task);
     FleetHost *const host = findHost(dispatcher.fleet, order.host);
-    if (job != nullptr && task != nullptr && outcome == StartOutcome::Started) {
+    if (job != nullptr && outcome == StartOutcome::Started) {
         // Also if the run is not the current one any more: it has started nevertheless.
-        recordRun(dispatcher, *job, *task);
+        confirmStart(dispatcher, *job);
     }
     if (job == nullptr || task == nullptr || !isCurrentRun(*task, order.host, order.run)
         || task->phase != TaskPhase::Starting) {
@@ -660,7 +648,6 @@
     }
     switch (outcome) {
     case StartOutcome::Started:
-        task->startConfirmed = true;
         task->phase = TaskPhase::Running;
         task->phaseSince = now;
         if (host != nullptr) {
@@ -680,7 +667,10 @@
     default:
         break;
     }
+    // A refused start does not reset the time for which the task has waited.
+    const TimePoint waitsSince = task->phaseSince - order.waited;
     returnToWaiting(dispatcher, *job, order.task, *task, now);
+    task->phaseSince = waitsSince;
     // An immediate retry would likely choose the same host and be refused again.
     task->notBefore = now + (outcome == StartOutcome::Malformed ? malformedDelay : refusedDelay);
     if (outcome != StartOutcome::NotSent) {
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -43,9 +43,6 @@
     /// Number of the latest start. It also increases over changes of the holder, because the
     /// numbers of each epoch start above those of the previous one.
     std::uint64_t run = 0;
-    /// Whether a host has confirmed the latest start, and whether one has confirmed any.
-    bool startConfirmed = false;
-    bool hasRun = false;
     /// Set unless the phase is Waiting or Done.
     HostId host;
     std::string checkpoint;
@@ -53,8 +50,6 @@
     /// start was confirmed. Uncertain: when the start order timed out. Stopping: when the stop
     /// order was last sent.
     TimePoint phaseSince;
-    /// When the wait before the latest start order began.
-    TimePoint waitBeganAt;
     /// Progress in the last report, and when it last increased.
     int percent = 0;
     TimePoint progressedAt;
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -144,7 +144,7 @@
                 continue;
             }
             for (const TaskRuntime &task : job->steps[n].tasks) {
-                if (task.phase == TaskPhase::Waiting && task.hasRun
+                if (task.phase == TaskPhase::Waiting && task.run > 0
                     && now - task.phaseSince < restartReserveTime) {
                     fleet.spareBesidesRestarts -= spec.taskSize.milliCores;
                 }
@@ -156,7 +156,7 @@
 bool hasOverdueRestart(const StepRuntime &step, TimePoint now)
 {
     return std::any_of(step.tasks.begin(), step.tasks.end(), [now](const TaskRuntime &task) {
-        return task.phase == TaskPhase::Waiting && task.hasRun && isOverdue(now - task.phaseSince);
+        return task.phase == TaskPhase::Waiting && task.run > 0 && isOverdue(now - task.phaseSince);
     });
 }
 
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -128,7 +128,7 @@
     } else if (reason.suitableHosts == 0) {
         reason.rule = ruleFor(hosts);
     } else if (spec.longRunning && !leavesRoomForUrgentTasks(fleet, spec)) {
-        const bool isRestart = task.hasRun;
+        const bool isRestart = task.run > 0;
         if (!isOverdue(reason.waited)
             || (reason.places < 2 && !(isRestart && isRestartUrgent(reason.waited)))) {
             reason.rule = WaitRule::UrgentRoom;
@@ -154,7 +154,7 @@
                                 .reasonLoggedAt = step.reasonLoggedAt};
             for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
                 const TaskRuntime &task = step.tasks[index];
-                const bool isRestart = job->spec.steps[n].longRunning && task.hasRun;
+                const bool isRestart = job->spec.steps[n].longRunning && task.run > 0;
                 const Duration waited = now - task.phaseSince;
                 if (task.phase == TaskPhase::Waiting
                     && std::tuple(isRestart, waited)
