Let a daemon that may not act as the holder reject no job

What callers could see: 429 for a job, with the load that a former holder last knew, while the present one has room.

Cause: the offer asked whether the tables had been loaded, not whether the daemon may still act.

Change: such a daemon admits the job; once stored, the present holder schedules it.

Result: the extended case of fleet_test failed with this line disabled.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -708,6 +708,9 @@
                        [&] { return holder.dispatcher().fleet.jobs.contains({"large"}); }));
     CHECK_FALSE(isAdmitted(backfillJob("second", 1)));
     CHECK(isAdmitted(backfillJob("first", 1)));
+    // A daemon that may not act does not know the present load.
+    cluster.runOnLoop([&] { cluster.mayAct[1] = false; });
+    CHECK(isAdmitted(backfillJob("third", 1)));
 }
 
 // Guards against a cancelled job that continues to run: a daemon that cannot reach the holder
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -1076,7 +1076,8 @@
 AdmissionDecision FleetHolder::offer(const JobSpec &job)
 {
     Impl &impl = *m_impl;
-    if (!impl.loaded || impl.finishing) {
+    // A former holder does not know the present load.
+    if (!impl.loaded || impl.finishing || !impl.env.mayAct()) {
         return {};
     }
     const TimePoint now = bootClockNow();
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -105,7 +105,8 @@
     /// Stops sending orders, writes the progress that is not durable yet, then calls @p done once.
     void finish(std::function<void()> done);
 
-    /// Decides whether a job is admitted and may be stored. During recovery every job is admitted.
+    /// Decides whether a job is admitted and may be stored. During recovery, and while this daemon
+    /// may not act as the holder, every job is admitted.
     AdmissionDecision offer(const JobSpec &job);
     /// Adds a job whose row has just been stored.
     void addStoredJob(JobSpec job);
