Send no body in the answer to a HEAD request

What callers could see: an answer that is not theirs. After a HEAD request on a kept-alive connection the body of its answer, such as the JSON body of status 405, stands where the next answer begins, so the next answer of the connection cannot be read (MIXED: a state that cannot be read).

Cause: the server wrote the handler's body for every method. RFC 9110, section 9.3.2: no content is sent in an answer to HEAD.

Evidence: the new case of http_test sends HEAD and GET on one connection, once with an answer 200 and once with an error.

Change: the body is left out; Content-Length still gives the length that a GET would have.

--- a/packages/http/http_test.cpp
+++ b/packages/http/http_test.cpp
@@ -274,6 +274,35 @@
     CHECK(answers.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a caller that takes the body of an answer to HEAD for the start of the next answer
+// on the connection (RFC 9110: an answer to HEAD has no content). MIXED.
+TEST_CASE("an answer to HEAD has no body, also if it is an error")
+{
+    EventLoop loop({.threads = 1});
+    HttpServer server(
+        loop, {.listen = {"127.0.0.1", 0}},
+        [](const HttpRequest &request, const HttpResponder &respond) {
+            if (request.target == "/refused") {
+                respond(errorResponse({ResultCode::UnknownPath, "the path has no such method"}));
+            } else {
+                respond(jsonResponse(R"({"state":"queued"})"));
+            }
+        });
+    REQUIRE(server.start());
+    for (const std::string target : {"/job", "/refused"}) {
+        RawCaller caller(server.endpoint());
+        caller.send("HEAD " + target + " HTTP/1.1\r\nhost: a\r\n\r\n"
+                    + "GET /job HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        const std::string answers = caller.readToEnd();
+        const std::size_t headEnd = answers.find("\r\n\r\n");
+        REQUIRE(headEnd != std::string::npos);
+        const std::string second = answers.substr(headEnd + 4);
+        CHECK(second.starts_with("HTTP/1.1 200 OK\r\n"));
+        CHECK(second.find("Content-Length: 18\r\n") != std::string::npos);
+        CHECK(second.ends_with("\r\n\r\n{\"state\":\"queued\"}"));
+    }
+}
+
 // Guards against a caller sending its next request on a connection that a shutdown closes.
 TEST_CASE("after closeAfterAnswers(), answers carry Connection: close")
 {
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -268,6 +268,10 @@
     m_response.body() = std::move(response.body);
     m_response.keep_alive(keepAlive);
     m_response.prepare_payload();
+    if (m_parser->get().method() == beast::http::verb::head) {
+        // The caller would take a body for the next answer. The declared length stays.
+        m_response.body().clear();
+    }
     m_stream.expires_after(m_server->options.idleTimeout);
     beast::http::async_write(
         m_stream, m_response,
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -31,7 +31,8 @@
 };
 
 /// HTTP/1.1 server with persistent connections. Requests that are malformed or too large are
-/// answered with a result code and do not reach the handler. All methods are thread-safe.
+/// answered with a result code and do not reach the handler. The body of an answer to HEAD is not
+/// sent. All methods are thread-safe.
 class HttpServer
 {
 public:
