Take an answer of the holder for a number only as a whole

What callers could see: a job shown as `completed` although the holder gave no such answer, or a wrong count as `pending` (MIXED), if the answer that a daemon gets from the holder begins with a digit and goes on with something else.

Cause: parseNumber() accepted text after the number.

Evidence: the new case of fleet_test has a holder that gives garbled answers. Before the change it failed for three states ("2x", "2 ", "2.0": "CHECK( fixture.state("j") == JobState::Queued ) is NOT correct") and one count ("2x"). Empty answers, signs, spaces in front and numbers out of range were rejected already.

Change: the whole text must be the number. Otherwise the state is read from the store, and the count is not known.

Result: the case passes, 18 assertions.

--- a/packages/fleet/jobfrontend.cpp
+++ b/packages/fleet/jobfrontend.cpp
@@ -40,11 +40,13 @@
     return {.status = static_cast<unsigned>(state.error().code), .body = state.error().message};
 }
 
+/// Returns nullopt if @p text is anything but a number.
 std::optional<unsigned long> parseNumber(const std::string &text)
 {
     unsigned long number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    return parsed.ec == std::errc{} ? std::optional(number) : std::nullopt;
+    const char *const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(number) : std::nullopt;
 }
 
 /// Errors: JobNotFound if the holder does not know the job; PlatformUnavailable otherwise.
--- a/packages/fleet/jobfrontend_test.cpp
+++ b/packages/fleet/jobfrontend_test.cpp
@@ -2,6 +2,7 @@
 #include "fleet/jobrows.h"
 #include "kernel/pluginregistry.h"
 #include "runtime/eventloop.h"
+#include "wire/peerserver.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -179,6 +180,15 @@
         REQUIRE(stored.get_future().get());
     }
 
+    void storeRow(const std::string &key, const std::string &value)
+    {
+        std::promise<bool> stored;
+        store.commit({.puts = {{key, value}}}, [&stored](const Result<CommitVersions> &result) {
+            stored.set_value(result.has_value());
+        });
+        REQUIRE(stored.get_future().get());
+    }
+
     std::size_t storedJobs()
     {
         std::promise<std::size_t> n;
@@ -309,3 +319,41 @@
     fixture.storeProgress("j", progress);
     CHECK(fixture.state("j") == JobState::Completed);
 }
+
+// Guards against a job that is shown as completed, or against a wrong count, because the beginning
+// of a garbled answer of the holder is a number. MIXED.
+TEST_CASE("an answer of the holder that is not a number is not shown to callers")
+{
+    FrontendFixture fixture;
+    REQUIRE(fixture.submit({"j"}) == std::vector{ResultCode::Ok});
+    EventLoop holderLoop({.threads = 1});
+    std::string body;
+    PeerServer holder(
+        holderLoop, {.listen = {"127.0.0.1", 0}},
+        [&body](const PeerMessage &, const PeerResponder &respond) {
+            respond(ForwardedAnswer{.status = 200, .body = body});
+        },
+        [](const Error &) {});
+    REQUIRE(holder.start());
+    fixture.owner = {.epoch = 1, .peer = holder.endpoint()};
+    body = std::to_string(static_cast<int>(JobState::Completed));
+    CHECK(fixture.state("j") == JobState::Completed);
+    for (const char *const garbled :
+         {"", "2x", "2 ", " 2", "-1", "+2", "9", "2.0", "completed", "99999999999999999999999"}) {
+        CAPTURE(std::string(garbled));
+        body = garbled;
+        // The state is read from the store instead.
+        CHECK(fixture.state("j") == JobState::Queued);
+    }
+    for (const char *const garbled : {"", "2x", " 2", "-1", "99999999999999999999999"}) {
+        CAPTURE(std::string(garbled));
+        body = garbled;
+        std::promise<bool> counted;
+        fixture.loop.post([&] {
+            fixture.frontend->countPendingJobs("q", [&counted](const Result<std::size_t> &n) {
+                counted.set_value(n.has_value());
+            });
+        });
+        CHECK_FALSE(counted.get_future().get());
+    }
+}
