Ignore a row with the key of another job

What callers could see: a job that nobody submitted (MIXED), if another writer puts a job's value under a different key of the job table: a query for the id in the key gave the state of that row, and the holder ran the job of the id in the value.

Cause: the job's id was taken from the row's value alone.

Change: a row whose key is not the one of the job in it is ignored like one that cannot be decoded, with 8015 RowIgnored, in the change feed and in whole reads of the table.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -671,6 +671,21 @@
     CHECK(storedRows() == 0);
 }
 
+// Guards against running a job under an id that nobody submitted. MIXED.
+TEST_CASE("a holder ignores a row with the key of another job")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.startHolder(1);
+    REQUIRE(eventually(cluster.loop, [&] { return holder.countPendingJobs("q").has_value(); }));
+    cluster.platform.commit({.puts = {{jobRowKey({"other"}), encodeJob(oneTaskJob("j"))}}},
+                            [](const Result<CommitVersions> &) {});
+    cluster.platform.commit({.puts = {{jobRowKey({"k"}), encodeJob(oneTaskJob("k"))}}},
+                            [](const Result<CommitVersions> &) {});
+    REQUIRE(eventually(cluster.loop,
+                       [&] { return findJob(holder.dispatcher().fleet, {"k"}) != nullptr; }));
+    CHECK(onLoop(cluster.loop, [&] { return holder.dispatcher().fleet.jobs.size(); }) == 1);
+}
+
 // Guards against telling a caller that a job never runs while an earlier submission of it, which
 // was admitted, may still be stored.
 TEST_CASE("a job that was admitted once is not rejected when it is submitted again")
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -917,7 +917,7 @@
 void FleetHolder::Impl::applyJobRow(const std::string &key, const std::string &value)
 {
     const TimePoint now = bootClockNow();
-    auto job = decodeJob(value);
+    auto job = decodeJobRow(key, value);
     if (job) {
         JobProgress empty = emptyProgress(*job);
         addJob(dispatcher, std::move(*job), std::move(empty), 0, false, now);
--- a/packages/fleet/jobfrontend_test.cpp
+++ b/packages/fleet/jobfrontend_test.cpp
@@ -357,3 +357,18 @@
         CHECK_FALSE(counted.get_future().get());
     }
 }
+
+// Guards against showing, or running, a job under an id that nobody submitted. MIXED.
+TEST_CASE("a row with the key of another job is no job")
+{
+    FrontendFixture fixture;
+    fixture.storeRow(jobRowKey({"other"}), encodeJob(oneTaskJob("j")));
+    CHECK_FALSE(fixture.state("other"));
+    CHECK(fixture.query("j") == ResultCode::JobNotFound);
+    std::vector<Error> ignored;
+    const std::string value = encodeJob(oneTaskJob("j"));
+    CHECK(joinJobRows({{.key = jobRowKey({"other"}), .value = value}}, {}, ignored).empty());
+    REQUIRE(ignored.size() == 1);
+    CHECK(ignored[0].where == jobRowKey({"other"}));
+    CHECK(joinJobRows({{.key = jobRowKey({"j"}), .value = value}}, {}, ignored).size() == 1);
+}
--- a/packages/fleet/jobrows.cpp
+++ b/packages/fleet/jobrows.cpp
@@ -47,6 +47,15 @@
     return ids;
 }
 
+Result<JobSpec> decodeJobRow(const std::string &key, const std::string &value)
+{
+    auto job = decodeJob(value);
+    if (job && jobRowKey(job->id) != key) {
+        return failure(ResultCode::CorruptSnapshot, "the row contains job " + job->id.value, key);
+    }
+    return job;
+}
+
 std::vector<StoredJob> joinJobRows(const std::vector<Row> &jobRows,
                                    const std::vector<Row> &progressRows,
                                    std::vector<Error> &ignored)
@@ -66,7 +75,7 @@
         if (row.key.ends_with(cancelSuffix) || isTombstone(row.value)) {
             continue;
         }
-        auto spec = decodeJob(row.value);
+        auto spec = decodeJobRow(row.key, row.value);
         if (!spec) {
             ignored.push_back({spec.error().code, spec.error().message, row.key});
             continue;
--- a/packages/fleet/jobrows.h
+++ b/packages/fleet/jobrows.h
@@ -28,6 +28,10 @@
 inline constexpr const char *jobTable = "job";
 inline constexpr const char *progressTable = "progress";
 
+/// Decodes the job in the row with @p key. Errors: CorruptSnapshot if the row is not the one of
+/// that job, and those of decodeJob().
+Result<JobSpec> decodeJobRow(const std::string &key, const std::string &value);
+
 /// A job as read from its rows.
 struct StoredJob
 {
