Answer that there is no job if only its cancellation is stored

What callers could see: a state that cannot be read (MIXED). A query for a job of which only the cancellation row exists was answered with 503 and Retry-After for as long as that row exists, instead of 410.

Cause: readState() took any row with the job's key as prefix for a sign of the job.

Change: without the job's own row there is no job.

--- a/packages/fleet/jobfrontend.cpp
+++ b/packages/fleet/jobfrontend.cpp
@@ -372,7 +372,11 @@
             callback(failure(ResultCode::PlatformUnavailable, jobRows.error().message));
             return;
         }
-        if (jobRows->empty() || !tombstones(*jobRows).empty()) {
+        // A cancellation may be stored without the job's row.
+        const bool hasJobRow =
+            std::any_of(jobRows->begin(), jobRows->end(),
+                        [&job](const Row &row) { return row.key == jobRowKey(job); });
+        if (!hasJobRow || !tombstones(*jobRows).empty()) {
             callback(failure(ResultCode::JobNotFound, "the store has no such job", job.value));
             return;
         }
--- a/packages/fleet/jobfrontend_test.cpp
+++ b/packages/fleet/jobfrontend_test.cpp
@@ -372,3 +372,11 @@
     CHECK(ignored[0].where == jobRowKey({"other"}));
     CHECK(joinJobRows({{.key = jobRowKey({"j"}), .value = value}}, {}, ignored).size() == 1);
 }
+
+// Guards against an answer "try again later", for ever, about a job that does not exist.
+TEST_CASE("a cancellation row without the row of its job is no job")
+{
+    FrontendFixture fixture;
+    fixture.storeRow(cancelRowKey({"j"}), "j");
+    CHECK(fixture.query("j") == ResultCode::JobNotFound);
+}
