Check that a job completes only after the ends of its tasks

MIXED, form "completed while a task has not ended so": by reading, the parts that could show it are gangs, merged progress, ends after a lapsed lease, and ends around a host's restart.

Test: 300 seeds of 150 rounds each. Runs of a job with a step, a gang and a step that depend on each other end in every way; orders and reports are lost or come in part, ends are listed again and for tasks that the job does not have, runs are declared lost, hosts restart, a new holder takes over with any earlier progress, and earlier progress is merged. No task may count as done without such an end, one end standing for all members of a gang.

--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -876,3 +876,220 @@
     CHECK(startedTasks(dispatcher, at(10)).empty());
     CHECK(startedTasks(dispatcher, at(10) + allowInterferenceAfter) == "batch/0/0");
 }
+
+namespace {
+
+/// Two hosts with simulated runs and a dispatcher whose job may be inherited by another one. Runs
+/// end in any way, orders and reports get lost, hosts restart, and stored progress may be old.
+class RandomRuns
+{
+public:
+    explicit RandomRuns(std::uint64_t seed)
+        : m_random(seed)
+    {
+        StepSpec gang = step(3, 500);
+        gang.gang = true;
+        gang.dependsOn = {0};
+        StepSpec last = step(2, 500);
+        last.dependsOn = {1};
+        m_job = job("j", {step(3, 500), gang, last});
+        m_stored.push_back(emptyProgress(m_job));
+        takeOver();
+    }
+
+    void playRound()
+    {
+        m_now += 60;
+        executeOrders();
+        for (const char *const id : {"h1", "h2"}) {
+            endRandomRun(m_hosts[id]);
+            sendReport(id);
+            if (chance(3)) {
+                declareRunsLost(m_dispatcher, {id}, "test", at(m_now));
+            }
+            if (chance(2)) {
+                // The runs vanish without an end, and ends are numbered from 1 again.
+                m_hosts[id] = {};
+                m_dispatcher.fleet.hosts[{id}].lastSeenEnd = 0;
+            }
+        }
+        if (chance(10)) {
+            m_stored.push_back(runtime().progress);
+        }
+        if (chance(4)) {
+            mergeProgress(m_dispatcher, {"j"}, anyStored(), at(m_now));
+        }
+        if (chance(2)) {
+            takeOver();
+        }
+    }
+
+    JobState state()
+    {
+        return stateOf(runtime());
+    }
+
+    /// Returns the tasks that count as done although no host has reported that, separated by
+    /// spaces. One such end of a gang's member stands for all of them.
+    std::string unfoundedDone()
+    {
+        std::string tasks;
+        for (std::uint32_t n = 0; n < m_job.steps.size(); ++n) {
+            const std::vector<bool> &done = runtime().progress.steps[n].done;
+            for (std::uint32_t index = 0; index < done.size(); ++index) {
+                const bool ended =
+                    m_job.steps[n].gang
+                        ? std::any_of(m_doneTasks.begin(), m_doneTasks.end(),
+                                      [n](const TaskKey &task) { return task.step == n; })
+                        : m_doneTasks.contains(key("j", index, n));
+                if (done[index] && !ended) {
+                    tasks += " " + describe(key("j", index, n));
+                }
+            }
+        }
+        return tasks;
+    }
+
+    bool areAllDone()
+    {
+        const JobProgress &progress = runtime().progress;
+        return isStepDone(progress, 0) && isStepDone(progress, 1) && isStepDone(progress, 2);
+    }
+
+private:
+    struct Host
+    {
+        std::map<TaskKey, std::uint64_t> runs;
+        std::vector<ReportedRunEnd> ended;
+    };
+
+    int draw(int limit)
+    {
+        return std::uniform_int_distribution<int>(0, limit - 1)(m_random);
+    }
+    bool chance(int percent)
+    {
+        return draw(100) < percent;
+    }
+    JobRuntime &runtime()
+    {
+        return *findJob(m_dispatcher.fleet, {"j"});
+    }
+    const JobProgress &anyStored()
+    {
+        return m_stored[static_cast<std::size_t>(draw(static_cast<int>(m_stored.size())))];
+    }
+
+    void takeOver()
+    {
+        m_dispatcher = {};
+        m_dispatcher.fleet.runNumberBase = 1000 * ++m_epoch;
+        addHost(m_dispatcher, "h1", 2000);
+        addHost(m_dispatcher, "h2", 2000);
+        addJob(m_dispatcher, m_job, anyStored(), 0, false, at(m_now));
+    }
+
+    void executeOrders()
+    {
+        const Orders orders = plan(m_dispatcher, at(m_now));
+        for (const StartRun &order : orders.starts) {
+            const int kind = draw(10);
+            if (kind < 8) {
+                m_hosts[order.host.value].runs[order.task] = order.run;
+            }
+            const StartOutcome outcome = kind < 6   ? StartOutcome::Started
+                                         : kind < 9 ? StartOutcome::Unknown
+                                                    : StartOutcome::Unhealthy;
+            applyStartOutcome(m_dispatcher, order, outcome, at(m_now));
+        }
+        for (const StopRun &order : orders.stops) {
+            Host &host = m_hosts[order.host.value];
+            const auto it = host.runs.find(order.task);
+            if (it != host.runs.end() && it->second == order.run) {
+                endRun(host, order.task, chance(20) ? RunEnd::Done : RunEnd::Stopped);
+            }
+        }
+    }
+
+    void endRandomRun(Host &host)
+    {
+        if (host.runs.empty() || chance(40)) {
+            return;
+        }
+        const auto it = std::next(host.runs.begin(), draw(static_cast<int>(host.runs.size())));
+        constexpr std::array ends{RunEnd::Done,        RunEnd::Done,       RunEnd::Stopped,
+                                  RunEnd::LeaseLapsed, RunEnd::GangBroken, RunEnd::GangIncomplete};
+        endRun(host, it->first,
+               chance(3) ? RunEnd::Failed
+                         : ends[static_cast<std::size_t>(draw(static_cast<int>(ends.size())))]);
+    }
+
+    void endRun(Host &host, TaskKey task, RunEnd end)
+    {
+        host.ended.push_back(
+            {.number = host.ended.size() + 1, .task = task, .run = host.runs.at(task), .end = end});
+        host.runs.erase(task);
+        if (end == RunEnd::Done) {
+            m_doneTasks.insert(task);
+        }
+        // Ends of tasks that the job does not have.
+        if (chance(20)) {
+            task.occurrence = chance(50) ? 1 : 0;
+            task.index += task.occurrence == 0 ? 3 : 0;
+            host.ended.push_back({.number = host.ended.size() + 1,
+                                  .task = task,
+                                  .run = 1'000'000,
+                                  .end = RunEnd::Done});
+        }
+    }
+
+    /// Applies a report of the host, which may be lost or list only its first ends. Ends that were
+    /// reported before are listed again.
+    void sendReport(const std::string &id)
+    {
+        if (chance(30)) {
+            return;
+        }
+        const Host &host = m_hosts[id];
+        HostReport report{.ended = host.ended};
+        if (chance(20)) {
+            report.ended.resize(report.ended.size() / 2);
+            report.complete = report.ended.size() == host.ended.size();
+        }
+        for (const auto &[task, run] : host.runs) {
+            report.active.push_back({.task = task, .run = run, .percent = 50});
+        }
+        applyReport(m_dispatcher, {id}, report, at(m_now), chance(80), at(m_now));
+    }
+
+    std::mt19937_64 m_random;
+    Dispatcher m_dispatcher;
+    JobSpec m_job;
+    std::map<std::string, Host> m_hosts;
+    std::set<TaskKey> m_doneTasks;
+    /// Progress as stored at some time.
+    std::vector<JobProgress> m_stored;
+    std::uint64_t m_epoch = 0;
+    int m_now = 0;
+};
+
+} // namespace
+
+// Guards against a job that callers see as completed while a task has not ended as done, whatever
+// gets lost, repeated or comes late. MIXED.
+TEST_CASE("a job is completed only if each of its tasks has ended as done")
+{
+    int completed = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        RandomRuns runs(seed);
+        for (int round = 0; round < 150; ++round) {
+            runs.playRound();
+            REQUIRE(runs.unfoundedDone() == "");
+            REQUIRE((runs.state() != JobState::Completed || runs.areAllDone()));
+        }
+        completed += runs.state() == JobState::Completed ? 1 : 0;
+    }
+    // Otherwise the rounds show nothing.
+    CHECK(completed > 100);
+}
