--- a/packages/fleet/jobfrontend.cpp
+++ b/packages/fleet/jobfrontend.cpp
@@ -40,11 +40,13 @@
     return {.status = static_cast<unsigned>(state.error().code), .body = state.error().message};
 }
 
+/// Returns nullopt if @p text is anything but a number.
 std::optional<unsigned long> parseNumber(const std::string &text)
 {
     unsigned long number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    return parsed.ec == std::errc{} ? std::optional(number) : std::nullopt;
+    const char *const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(number) : std::nullopt;
 }
 
 /// Errors: JobNotFound if the holder does not know the job; PlatformUnavailable otherwise.
@@ -370,7 +372,11 @@
             callback(failure(ResultCode::PlatformUnavailable, jobRows.error().message));
             return;
         }
-        if (jobRows->empty() || !tombstones(*jobRows).empty()) {
+        // A cancellation may be stored without the job's row.
+        const bool hasJobRow =
+            std::any_of(jobRows->begin(), jobRows->end(),
+                        [&job](const Row &row) { return row.key == jobRowKey(job); });
+        if (!hasJobRow || !tombstones(*jobRows).empty()) {
             callback(failure(ResultCode::JobNotFound, "the store has no such job", job.value));
             return;
         }
--- a/packages/fleet/jobrows.h
+++ b/packages/fleet/jobrows.h
@@ -28,6 +28,10 @@
 inline constexpr const char *jobTable = "job";
 inline constexpr const char *progressTable = "progress";
 
+/// Decodes the job in the row with @p key. Errors: CorruptSnapshot if the row is not the one of
+/// that job, and those of decodeJob().
+Result<JobSpec> decodeJobRow(const std::string &key, const std::string &value);
+
 /// A job as read from its rows.
 struct StoredJob
 {
@@ -45,7 +49,7 @@
                                    std::vector<Error> &ignored);
 
 /// Returns the state of a job according to its rows. A job that has neither ended nor been
-/// cancelled counts as running.
+/// cancelled is running if its progress shows a start, and queued otherwise.
 JobState storedState(const StoredJob &job);
 
 } // namespace acaciadeal
