Keep the progress of a large job within the store's row limit

After a hopeless job of 2,500 tasks had failed three times, no job's progress became durable any more.

Cause: the progress row lists the number of each failed run, so its size has no bound. Above max_row_bytes the store rejects it.

Change: a row that would be too large stores the distinct sets of run numbers once, and six bits a character say which of them each task that is not done has. Done tasks and ended jobs need no failed runs. What still does not fit is left out, first of the tasks that have failed least; those have more attempts after a takeover. Smaller rows keep their format. A job whose row, or whose progress without failures, is too large is rejected at submission with 400.

--- a/packages/jobs/jobprogress.h
+++ b/packages/jobs/jobprogress.h
@@ -54,9 +54,16 @@
 /// Returns whether all tasks of the step with index @p step are done. Precondition: it exists.
 bool isStepDone(const JobProgress &progress, std::size_t step);
 
-/// Convert a progress to and from the text stored in its row. decodeProgress() takes the number of
-/// steps and tasks from the job's spec, and fails with CorruptSnapshot if the text does not fit it.
-/// Thread-safe.
+/// Checks that the row of the job, and that of its progress before any run has failed, have at most
+/// maxJobRowBytes. Errors: RequestTooLarge. Thread-safe.
+Result<void> validateRowSizes(const JobSpec &job);
+
+/// Convert a progress to and from the text stored in its row. The text has at most maxJobRowBytes
+/// if the job passes validateRowSizes(): if it would have more, failed runs are left out that are
+/// not needed (of done tasks and of ended jobs) and, if that does not suffice, those of the tasks
+/// that failed least. After a takeover such a task has more attempts. decodeProgress() takes the
+/// number of steps and tasks from the job's spec, and fails with CorruptSnapshot if the text does
+/// not fit it. Thread-safe.
 std::string encodeProgress(const JobProgress &progress);
 Result<JobProgress> decodeProgress(const JobSpec &job, const std::string &text);
 
--- a/packages/jobs/jobspec.h
+++ b/packages/jobs/jobspec.h
@@ -89,6 +89,11 @@
 /// Maximum number of tasks of one job. Bounds the memory that a single request can use.
 inline constexpr std::uint32_t maxTasksPerJob = 20'000;
 
+/// Maximum size of a job's row and of the row of its progress. The platform accepts values of
+/// 65,536 bytes; in base64, so that the limit holds whether it counts bytes before or after the
+/// encoding.
+inline constexpr std::size_t maxJobRowBytes = 65'536 / 4 * 3;
+
 /// Checks that the job has steps and at most maxTasksPerJob tasks, that no step is without tasks,
 /// that sizes are not negative, and that dependencies name earlier steps. Errors:
 /// MalformedRequest, or RequestTooLarge for too many tasks; both name the field. Thread-safe.
