Keep a rejected progress row from blocking those of other jobs

Jobs that had run to their end stayed in_progress for ever, and at the holder's own daemon a GET got no answer.

Cause: the progress writer took HTTP status 400 for an unknown outcome and repeated the same batch. The size of a batch was not bounded either.

The jobs of a rejected batch are written one at a time; a row that is rejected alone is logged (8026) and tried again each second. The others, and the acknowledgement of ends, do not wait for it. A batch has at most 1 MB as the store counts it.

--- a/packages/base/event.cpp
+++ b/packages/base/event.cpp
@@ -120,6 +120,8 @@
               "The holder counted the pending jobs of a queue, or could not vouch for the count."},
     EventInfo{EventId::HolderNotNotified, Severity::Warning, "HolderNotNotified",
               "The holder did not confirm the announcement of a stored job."},
+    EventInfo{EventId::RowRejected, Severity::Warning, "RowRejected",
+              "The platform rejects a row; it is retried alone."},
 };
 
 } // namespace
--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -73,6 +73,7 @@
     QueueInquired = 8023,
     PendingJobsCounted = 8024,
     HolderNotNotified = 8025,
+    RowRejected = 8026,
 };
 
 /// Entry of the event catalogue.
--- a/packages/base/resultcode.cpp
+++ b/packages/base/resultcode.cpp
@@ -101,6 +101,8 @@
                    "The answer of the platform is not valid."},
     ResultCodeInfo{ResultCode::HistoryLost, "HistoryLost",
                    "The platform no longer has the requested history of changes."},
+    ResultCodeInfo{ResultCode::WriteRejected, "WriteRejected",
+                   "The platform does not accept this write; nothing was written."},
     ResultCodeInfo{ResultCode::FrameTooLarge, "FrameTooLarge", "A frame exceeds the size limit."},
     ResultCodeInfo{ResultCode::TruncatedFrame, "TruncatedFrame",
                    "The connection ended inside a frame."},
--- a/packages/base/resultcode.h
+++ b/packages/base/resultcode.h
@@ -68,6 +68,7 @@
     WriteOutcomeUnknown = 5003,
     PlatformProtocol = 5004,
     HistoryLost = 5005,
+    WriteRejected = 5006,
 
     FrameTooLarge = 6001,
     TruncatedFrame = 6002,
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fakehosts.h"
 #include "fleet/holder.h"
+#include "fleet/internal/progresswriter.h"
 #include "fleet/jobrows.h"
 #include "fleet/ownership.h"
 #include "kernel/pluginregistry.h"
@@ -72,6 +73,10 @@
     std::set<std::string> unlisted;
     /// Delay of the store's answer to a write of progress.
     Duration progressDelay{0};
+    /// Job whose progress row the store rejects, also in a transaction with others.
+    JobId rejectedProgress;
+    /// Transactions that were rejected because of it.
+    int rejectedWrites = 0;
     /// Keys of the progress rows whose delayed write has been answered.
     std::set<std::string> storedProgress;
     /// Whether the store refuses to delete job rows.
@@ -157,6 +162,19 @@
                 });
                 return;
             }
+            const bool isRejected =
+                !rejectedProgress.empty()
+                && std::any_of(transaction.puts.begin(), transaction.puts.end(),
+                               [this](const RowPut &put) {
+                                   return put.key == progressRowKey(rejectedProgress);
+                               });
+            if (isRejected) {
+                ++rejectedWrites;
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::WriteRejected, "status 400"));
+                });
+                return;
+            }
             const bool isProgress =
                 !transaction.puts.empty() && transaction.puts[0].key.starts_with("progress/");
             commit(transaction, [this, isProgress, callback = std::move(callback)](
@@ -345,6 +363,29 @@
         return state.get_future().get();
     }
 
+    /// Waits until the holder knows that the job has ended, then returns its state once that is
+    /// durable; unset if it is not within 2 s.
+    std::optional<JobState> stateWithin(FleetHolder &holder, const std::string &id)
+    {
+        if (!eventually(loop, [&] {
+                const JobRuntime *const job = findJob(holder.dispatcher().fleet, {id});
+                return job != nullptr && isTerminal(job->progress.outcome);
+            })) {
+            return std::nullopt;
+        }
+        auto state = std::make_shared<std::promise<std::optional<JobState>>>();
+        auto future = state->get_future();
+        loop.post([&holder, id, state] {
+            holder.queryState({id}, [state](const Result<JobState> &result) {
+                state->set_value(result ? std::optional(*result) : std::nullopt);
+            });
+        });
+        if (future.wait_for(std::chrono::seconds(2)) != std::future_status::ready) {
+            return std::nullopt;
+        }
+        return future.get();
+    }
+
     /// Ends the run of job "early" on h0, and restarts h0 while the holder writes the progress of
     /// this job. The first run that ends after the restart is that of job "late".
     void restartDuringWrite(FleetHolder &holder)
@@ -444,6 +485,98 @@
     CHECK(cluster.startCount("j") == 1);
 }
 
+// Guards against one row that blocks the progress of all jobs, and the acknowledgement of ended
+// runs.
+TEST_CASE("a progress row that the store rejects does not block those of other jobs")
+{
+    Cluster cluster(1);
+    FleetHolder &holder = cluster.startHolder(1);
+    const std::vector<std::string> jobs = {"a", "rejected", "z"};
+    for (const std::string &id : jobs) {
+        cluster.submit(oneTaskJob(id));
+        REQUIRE(cluster.waitUntilRunning(id));
+    }
+    cluster.runOnLoop([&] {
+        cluster.rejectedProgress = {"rejected"};
+        for (const std::string &id : jobs) {
+            cluster.hosts.endRun("h0", taskOf(id), RunEnd::Done);
+        }
+    });
+    CHECK(cluster.stateWithin(holder, "a") == JobState::Completed);
+    CHECK(cluster.stateWithin(holder, "z") == JobState::Completed);
+    CHECK(eventually(cluster.loop, [&] { return cluster.hosts.host("h0").ended.empty(); }));
+    // It is retried, alone and not all the time.
+    const int before = onLoop(cluster.loop, [&] { return cluster.rejectedWrites; });
+    std::this_thread::sleep_for(milliseconds(1'500));
+    const int after = onLoop(cluster.loop, [&] { return cluster.rejectedWrites; });
+    CHECK(after > before);
+    CHECK(after <= before + 3);
+    CHECK(cluster.stateWithin(holder, "rejected") == std::nullopt);
+    // Jobs that end later are not affected either.
+    cluster.submit(oneTaskJob("later"));
+    REQUIRE(cluster.waitUntilRunning("later"));
+    cluster.runOnLoop([&] { cluster.hosts.endRun("h0", taskOf("later"), RunEnd::Done); });
+    CHECK(cluster.stateWithin(holder, "later") == JobState::Completed);
+    cluster.runOnLoop([&] { cluster.rejectedProgress = {}; });
+    CHECK(eventually(cluster.loop,
+                     [&] { return !holder.dispatcher().fleet.dirty.contains({"rejected"}); }));
+    CHECK(cluster.stateWithin(holder, "rejected") == JobState::Completed);
+}
+
+// Guards against a batch that is larger than the store accepts in one call.
+TEST_CASE("a write of progress has at most 1 MB, and all large rows are written")
+{
+    constexpr std::size_t maxCallBytes = 1'000'000;
+    constexpr std::size_t jobCount = 45;
+    EventLoop loop{{.threads = 1}};
+    FleetState fleet;
+    std::size_t largestCall = 0;
+    std::set<std::string> written;
+    PlatformAdapter platform;
+    platform.commit = [&](const Transaction &transaction, const CommitCallback &callback) {
+        std::size_t bytes = 0;
+        CommitVersions versions;
+        for (const RowPut &put : transaction.puts) {
+            // In base64.
+            bytes += (put.value.size() + 2) / 3 * 4;
+            written.insert(put.key);
+            versions[put.key] = 1;
+        }
+        largestCall = std::max(largestCall, bytes);
+        loop.post([callback, versions] { callback(versions); });
+    };
+    for (std::size_t n = 0; n < jobCount; ++n) {
+        JobSpec spec = oneTaskJob("j" + std::to_string(n));
+        spec.steps[0].tasks = maxTasksPerJob;
+        auto job = std::make_unique<JobRuntime>();
+        job->progress = emptyProgress(spec);
+        for (std::uint32_t task = 0; task < 3'000; ++task) {
+            job->progress.steps[0].failedRuns[task] = {1, 2};
+        }
+        job->spec = spec;
+        fleet.dirty.insert(spec.id);
+        fleet.jobs[spec.id] = std::move(job);
+    }
+    internal::ProgressWriter writer({.loop = loop,
+                                     .platform = platform,
+                                     .fleet = fleet,
+                                     .mayAct = [] { return true; },
+                                     .onDurable = [] {},
+                                     .onStoredProgress =
+                                         [](const JobId &, const JobProgress &) {
+                                         }},
+                                    {});
+    loop.post([&] { writer.scheduleFlush(); });
+    CHECK(eventually(loop, [&] { return written.size() == jobCount && fleet.dirty.empty(); }));
+    CHECK(largestCall > maxCallBytes / 2);
+    CHECK(largestCall < maxCallBytes);
+    onLoop(loop, [&] {
+        writer.stop();
+        return true;
+    });
+    loop.stop();
+}
+
 // Guards against tasks of an unresponsive host that are never restarted, and against a second run
 // while the lease of the first one is still valid.
 TEST_CASE("the task of an unresponsive host starts elsewhere once its lease has expired")
--- a/packages/fleet/internal/progresswriter.cpp
+++ b/packages/fleet/internal/progresswriter.cpp
@@ -14,6 +14,10 @@
 /// Maximum number of jobs in one transaction. Each needs a check and a write, and the store accepts
 /// at most 100 of both together.
 constexpr std::size_t jobsPerWrite = 45;
+/// Maximum size of the rows in one transaction. The store accepts 1 MB of JSON; base64 adds a
+/// third, and the names of 90 entries need less than 64 KB.
+constexpr std::size_t maxBytesPerWrite = (1'000'000 - 64 * 1024) / 4 * 3;
+static_assert(maxBytesPerWrite >= maxJobRowBytes);
 
 } // namespace
 
@@ -27,26 +31,55 @@
 bool ProgressWriter::isClean() const
 {
     const auto &hosts = m_env.fleet.hosts;
-    return m_env.fleet.dirty.empty()
-           && std::all_of(hosts.begin(), hosts.end(), [](const auto &entry) {
-                  return entry.second.lastDurableEnd == entry.second.lastSeenEnd;
-              });
+    return isWritten() && std::all_of(hosts.begin(), hosts.end(), [](const auto &entry) {
+               return entry.second.lastDurableEnd == entry.second.lastSeenEnd;
+           });
+}
+
+bool ProgressWriter::isRejected(const JobId &job) const
+{
+    return m_rejected.contains(job);
+}
+
+bool ProgressWriter::isWritten() const
+{
+    const auto &dirty = m_env.fleet.dirty;
+    return std::all_of(dirty.begin(), dirty.end(),
+                       [this](const JobId &job) { return isRejected(job); });
 }
 
 void ProgressWriter::scheduleFlush()
 {
-    if (m_stopped || m_writing || isClean()) {
+    if (m_stopped || m_writing) {
+        return;
+    }
+    scheduleRejected();
+    if (isClean()) {
         return;
     }
     const bool urgent =
         !m_waiters.empty()
         || std::any_of(m_env.fleet.dirty.begin(), m_env.fleet.dirty.end(), [this](const JobId &id) {
+               if (isRejected(id)) {
+                   return false;
+               }
                const JobRuntime *const job = findJob(m_env.fleet, id);
                return job != nullptr && isTerminal(job->progress.outcome);
            });
     schedule(urgent ? m_options.shortFlushDelay : m_options.flushDelay);
 }
 
+void ProgressWriter::scheduleRejected()
+{
+    if (m_rejected.empty()) {
+        return;
+    }
+    const auto next =
+        std::min_element(m_rejected.begin(), m_rejected.end(),
+                         [](const auto &a, const auto &b) { return a.second < b.second; });
+    schedule(std::max(next->second - bootClockNow(), Duration(0)));
+}
+
 void ProgressWriter::schedule(Duration delay)
 {
     const TimePoint due = bootClockNow() + delay;
@@ -62,28 +95,69 @@
     });
 }
 
-void ProgressWriter::flush()
+bool ProgressWriter::addRow(Transaction &transaction, const JobRuntime &job,
+                            std::size_t &bytes) const
 {
-    if (m_writing || !m_env.mayAct()) {
-        return;
+    std::string value = encodeProgress(job.progress);
+    if (!transaction.puts.empty() && bytes + value.size() > maxBytesPerWrite) {
+        return false;
     }
-    Transaction transaction;
-    std::vector<JobId> jobs;
+    bytes += value.size();
+    const std::string key = progressRowKey(job.spec.id);
+    transaction.checks.push_back({key, job.progressVersion});
+    transaction.puts.push_back({key, std::move(value)});
+    return true;
+}
+
+std::vector<JobId> ProgressWriter::takeBatch(Transaction &transaction)
+{
     auto &dirty = m_env.fleet.dirty;
-    while (!dirty.empty() && jobs.size() < jobsPerWrite) {
-        const JobId id = *dirty.begin();
-        dirty.erase(dirty.begin());
-        const JobRuntime *const job = findJob(m_env.fleet, id);
-        if (job == nullptr) {
+    std::erase_if(dirty, [this](const JobId &id) { return findJob(m_env.fleet, id) == nullptr; });
+    std::erase_if(m_separate, [&dirty](const JobId &id) { return !dirty.contains(id); });
+    std::erase_if(m_rejected, [&dirty](const auto &entry) { return !dirty.contains(entry.first); });
+    std::size_t bytes = 0;
+    const auto takeAlone = [&](const JobId id) {
+        addRow(transaction, *findJob(m_env.fleet, id), bytes);
+        dirty.erase(id);
+        return std::vector<JobId>{id};
+    };
+    if (!m_separate.empty()) {
+        return takeAlone(*m_separate.begin());
+    }
+    const TimePoint now = bootClockNow();
+    const auto due = std::find_if(m_rejected.begin(), m_rejected.end(),
+                                  [now](const auto &entry) { return entry.second <= now; });
+    if (due != m_rejected.end()) {
+        return takeAlone(due->first);
+    }
+    std::vector<JobId> jobs;
+    for (const JobId &id : dirty) {
+        if (jobs.size() >= jobsPerWrite) {
+            break;
+        }
+        if (isRejected(id)) {
             continue;
         }
-        const std::string key = progressRowKey(id);
-        transaction.checks.push_back({key, job->progressVersion});
-        transaction.puts.push_back({key, encodeProgress(job->progress)});
+        if (!addRow(transaction, *findJob(m_env.fleet, id), bytes)) {
+            break;
+        }
         jobs.push_back(id);
     }
+    for (const JobId &id : jobs) {
+        dirty.erase(id);
+    }
+    return jobs;
+}
+
+void ProgressWriter::flush()
+{
+    if (m_writing || !m_env.mayAct()) {
+        return;
+    }
+    Transaction transaction;
+    const std::vector<JobId> jobs = takeBatch(transaction);
     EndedRunNumbers endedRuns;
-    if (dirty.empty()) {
+    if (isWritten()) {
         for (const auto &[id, host] : m_env.fleet.hosts) {
             if (host.lastDurableEnd != host.lastSeenEnd) {
                 endedRuns[id] = {.bootedAt = host.bootedAt, .number = host.lastSeenEnd};
@@ -92,6 +166,7 @@
     }
     if (jobs.empty()) {
         markDurable(endedRuns);
+        scheduleRejected();
         return;
     }
     m_writing = true;
@@ -112,6 +187,8 @@
             if (JobRuntime *const job = findJob(m_env.fleet, id)) {
                 job->progressVersion = result->at(progressRowKey(id));
             }
+            m_separate.erase(id);
+            m_rejected.erase(id);
         }
         markDurable(endedRuns);
         scheduleFlush();
@@ -122,12 +199,35 @@
         mergeRow(result.error().where);
         return;
     }
+    if (result.error().code == ResultCode::WriteRejected) {
+        onRejected(jobs, result.error());
+        return;
+    }
     logEvent(EventId::WriteOutcomeUnknown,
              {{"what", "progress of " + std::to_string(jobs.size()) + " jobs"},
               {"reason", result.error().message}});
     schedule(m_options.retryDelay);
 }
 
+/// The store does not say which row of a batch it rejected.
+void ProgressWriter::onRejected(const std::vector<JobId> &jobs, const Error &error)
+{
+    if (jobs.size() > 1) {
+        m_separate.insert(jobs.begin(), jobs.end());
+        schedule(m_options.shortFlushDelay);
+        return;
+    }
+    const JobId &id = jobs.front();
+    const JobRuntime *const job = findJob(m_env.fleet, id);
+    m_separate.erase(id);
+    m_rejected[id] = bootClockNow() + m_options.rejectedRetryDelay;
+    logEvent(EventId::RowRejected,
+             {{"row", progressRowKey(id)},
+              {"bytes", std::to_string(job == nullptr ? 0 : encodeProgress(job->progress).size())},
+              {"reason", error.message}});
+    scheduleFlush();
+}
+
 /// Merges a stored row whose version is not the expected one. It was written by this holder and the
 /// answer was lost, or it is a late write of an earlier holder.
 void ProgressWriter::mergeRow(const std::string &key)
@@ -165,7 +265,7 @@
     }
     answerWaiters();
     m_env.onDurable();
-    if (m_onFinished && m_env.fleet.dirty.empty()) {
+    if (m_onFinished && isWritten()) {
         std::exchange(m_onFinished, nullptr)();
     }
 }
@@ -201,7 +301,7 @@
 
 void ProgressWriter::finish(std::function<void()> done)
 {
-    if (m_stopped || (m_env.fleet.dirty.empty() && !m_writing) || !m_env.mayAct()) {
+    if (m_stopped || (isWritten() && !m_writing) || !m_env.mayAct()) {
         done();
         return;
     }
--- a/packages/fleet/internal/progresswriter.h
+++ b/packages/fleet/internal/progresswriter.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace acaciadeal {
@@ -35,11 +36,16 @@
     Duration shortFlushDelay = milliseconds(4);
     /// Delay before a write that failed is repeated.
     Duration retryDelay = milliseconds(100);
+    /// Delay before a row that the store rejected is tried again.
+    Duration rejectedRetryDelay = milliseconds(1'000);
 };
 
 /// Writes the progress of jobs in batches and keeps track of which ended runs are durable. If a
 /// write conflicts with another one, such as a late write of an earlier holder, the stored progress
-/// is merged and the result is written again.
+/// is merged and the result is written again. If the store rejects a batch, its jobs are written
+/// one at a time. A row that is rejected alone is logged and retried with a delay, and the others
+/// do not wait for it. Ended runs of its job are acknowledged meanwhile, as hosts list all ends in
+/// one order; if the holder changes before the row is accepted, its tasks may run again.
 class ProgressWriter
 {
 public:
@@ -72,6 +78,17 @@
     using EndedRunNumbers = std::map<HostId, EndedRunNumber>;
 
     bool isClean() const;
+    bool isRejected(const JobId &job) const;
+    /// Returns whether all changed jobs, except those whose rows the store rejects, are durable.
+    bool isWritten() const;
+    /// Removes the next jobs to be written from the changed ones and adds their rows to
+    /// @p transaction.
+    std::vector<JobId> takeBatch(Transaction &transaction);
+    /// Adds the row of a job unless the transaction would become too large. Returns whether it was
+    /// added.
+    bool addRow(Transaction &transaction, const JobRuntime &job, std::size_t &bytes) const;
+    void onRejected(const std::vector<JobId> &jobs, const Error &error);
+    void scheduleRejected();
     void schedule(Duration delay);
     void flush();
     void onWritten(const std::vector<JobId> &jobs, const EndedRunNumbers &endedRuns,
@@ -84,6 +101,10 @@
     ProgressWriterOptions m_options;
     std::vector<Waiter> m_waiters;
     std::function<void()> m_onFinished;
+    /// Jobs of a rejected batch, to be written one at a time.
+    std::set<JobId> m_separate;
+    /// Jobs whose rows the store rejected, with the time of the next attempt.
+    std::map<JobId, TimePoint> m_rejected;
     bool m_writing = false;
     bool m_stopped = false;
     /// Time at which the scheduled write is due; unset if none is scheduled.
--- a/packages/store/platform.h
+++ b/packages/store/platform.h
@@ -122,7 +122,8 @@
 
 /// Receives the result of a commit. CheckFailed: nothing was written; the error's `where` names the
 /// key. WriteOutcomeUnknown: the write may have taken effect, now or later. PlatformUnavailable:
-/// the transaction was provably not sent.
+/// the transaction was provably not sent. WriteRejected: nothing was written, and the same
+/// transaction will be rejected again, for example because a row is too large.
 using CommitCallback = std::function<void(Result<CommitVersions>)>;
 using ReadCallback = std::function<void(Result<std::vector<Row>>)>;
 using ObjectCallback = std::function<void(Result<std::string>)>;
