Keep a rejected job row from failing the submissions of its batch

What callers would see (review, by reading): a submission whose row the store rejects is answered with 504, and so are the jobs written with it.

Cause: a rejected write counted as one of unknown outcome and was repeated as a whole; a batch was not bounded by bytes.

Change: after WriteRejected the jobs of a batch are written one at a time. A batch has at most 1 MB, with the limit of progress rows.

--- a/packages/fleet/internal/progresswriter.cpp
+++ b/packages/fleet/internal/progresswriter.cpp
@@ -14,10 +14,6 @@
 /// Maximum number of jobs in one transaction. Each needs a check and a write, and the store accepts
 /// at most 100 of both together.
 constexpr std::size_t jobsPerWrite = 45;
-/// Maximum size of the rows in one transaction. The store accepts 1 MB of JSON; base64 adds a
-/// third, and the names of 90 entries need less than 64 KB.
-constexpr std::size_t maxBytesPerWrite = (1'000'000 - 64 * 1024) / 4 * 3;
-static_assert(maxBytesPerWrite >= maxJobRowBytes);
 
 } // namespace
 
--- a/packages/fleet/jobfrontend.cpp
+++ b/packages/fleet/jobfrontend.cpp
@@ -75,6 +75,8 @@
     milliseconds retryAfter{0};
     /// Whether an earlier attempt to store the job may have taken effect or may still do so.
     bool mayBeStored = false;
+    /// Whether the job is written alone, after the store has rejected its batch.
+    bool separate = false;
 };
 
 JobFrontend::JobFrontend(JobFrontendEnvironment environment, const JobFrontendOptions &options)
@@ -170,16 +172,26 @@
     std::vector<std::shared_ptr<Submission>> batch;
     Transaction transaction;
     std::set<std::string> keys;
+    std::size_t bytes = 0;
     std::erase_if(m_waiting, [&](const std::shared_ptr<Submission> &submission) {
         const std::string key = jobRowKey(submission->job.id);
+        if (!batch.empty() && (submission->separate || batch.front()->separate)) {
+            return false;
+        }
         // A second submission of a job in this batch waits for the outcome of the first one.
         if (partitionOf(*submission) != partition || batch.size() >= jobsPerCommit
-            || !keys.insert(key).second) {
+            || keys.contains(key)) {
+            return false;
+        }
+        std::string value = encodeJob(submission->job);
+        if (!batch.empty() && bytes + value.size() > maxBytesPerWrite) {
             return false;
         }
+        bytes += value.size();
+        keys.insert(key);
         ++submission->attempts;
         transaction.checks.push_back({key, 0});
-        transaction.puts.push_back({key, encodeJob(submission->job)});
+        transaction.puts.push_back({key, std::move(value)});
         batch.push_back(submission);
         return true;
     });
@@ -208,6 +220,14 @@
         }
         return;
     }
+    if (!result && result.error().code == ResultCode::WriteRejected && batch.size() > 1) {
+        // The store does not say which row it rejected.
+        for (const auto &submission : batch) {
+            submission->separate = true;
+            m_waiting.push_back(submission);
+        }
+        return;
+    }
     for (const auto &submission : batch) {
         if (exists && result.error().where != jobRowKey(submission->job.id)) {
             // The check of another job failed, so nothing of the batch was stored.
@@ -229,7 +249,12 @@
         readExistingRow(submission);
         return;
     }
-    const bool unknown = result.error().code != ResultCode::PlatformUnavailable;
+    if (result.error().code == ResultCode::WriteRejected && !submission->mayBeStored) {
+        completeSubmission(submission, tl::unexpected<Error>(result.error()));
+        return;
+    }
+    const bool unknown = result.error().code != ResultCode::PlatformUnavailable
+                         && result.error().code != ResultCode::WriteRejected;
     submission->mayBeStored = submission->mayBeStored || unknown;
     const bool late = bootClockNow() + m_options.commitRetryDelay >= submission->deadline;
     const bool refused =
--- a/packages/fleet/jobfrontend_test.cpp
+++ b/packages/fleet/jobfrontend_test.cpp
@@ -32,6 +32,11 @@
     Duration delay{0};
     bool refuses = false;
     bool losesAnswers = false;
+    /// Job whose row the store rejects, also in a transaction with others.
+    JobId rejectedJob;
+    std::string payload;
+    /// Size of the rows of the largest write, in base64.
+    std::size_t largestCall = 0;
     /// Whether the next write gets no answer and is executed by executeHeldWrite().
     bool holdsNextWrite = false;
     Transaction heldWrite;
@@ -68,6 +73,17 @@
     void commit(Transaction transaction, CommitCallback callback)
     {
         ++commits;
+        std::size_t bytes = 0;
+        for (const RowPut &put : transaction.puts) {
+            bytes += (put.value.size() + 2) / 3 * 4;
+            if (!rejectedJob.empty() && put.key == jobRowKey(rejectedJob)) {
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::WriteRejected, "status 400"));
+                });
+                return;
+            }
+        }
+        largestCall = std::max(largestCall, bytes);
         if (refuses) {
             loop.post([callback = std::move(callback)] {
                 callback(failure(ResultCode::PlatformUnavailable, "status 503"));
@@ -107,7 +123,9 @@
         // All jobs are submitted by one callback, so that no answer is handled in between.
         loop.post([this, ids, timeout, outcomes] {
             for (std::size_t n = 0; n < ids.size(); ++n) {
-                frontend->submit(oneTaskJob(ids[n]), timeout,
+                JobSpec job = oneTaskJob(ids[n]);
+                job.payload = payload;
+                frontend->submit(std::move(job), timeout,
                                  [outcome = outcomes[n]](const SubmitOutcome &result) {
                                      outcome->set_value(result.result ? ResultCode::Ok
                                                                       : result.result.error().code);
@@ -240,6 +258,35 @@
     CHECK(fixture.storedJobs() == 1);
 }
 
+// Guards against one job that makes the store reject those that are written with it.
+TEST_CASE("a job that the store rejects does not affect the jobs of its batch")
+{
+    FrontendFixture fixture;
+    fixture.rejectedJob = {"rejected"};
+    fixture.delay = milliseconds(5);
+    CHECK(
+        fixture.submit({"first", "a", "rejected", "b"})
+        == std::vector{ResultCode::Ok, ResultCode::Ok, ResultCode::WriteRejected, ResultCode::Ok});
+    CHECK(fixture.storedJobs() == 3);
+}
+
+// Guards against a batch that is larger than the store accepts in one call.
+TEST_CASE("a write of jobs has at most 1 MB")
+{
+    constexpr std::size_t maxCallBytes = 1'000'000;
+    FrontendFixture fixture;
+    fixture.payload = std::string(40'000, 'x');
+    fixture.delay = milliseconds(5);
+    std::vector<std::string> ids;
+    for (int n = 0; n < 41; ++n) {
+        ids.push_back("j" + std::to_string(n));
+    }
+    const auto codes = fixture.submit(ids, milliseconds(5000));
+    CHECK(std::count(codes.begin(), codes.end(), ResultCode::Ok) == 41);
+    CHECK(fixture.largestCall > maxCallBytes / 2);
+    CHECK(fixture.largestCall < maxCallBytes);
+}
+
 // Load pattern: a slow store whose partitions execute a few writes per second each, and jobs that
 // arrive one by one. Guards against jobs that wait for writes to other partitions until their
 // callers give up.
--- a/packages/fleet/jobrows.h
+++ b/packages/fleet/jobrows.h
@@ -17,6 +17,11 @@
 std::string cancelRowKey(const JobId &job);
 std::string progressRowKey(const JobId &job);
 
+/// Maximum size of the rows in one transaction. The store accepts 1 MB of JSON; base64 adds a
+/// third, and the names of 90 entries need less than 64 KB.
+inline constexpr std::size_t maxBytesPerWrite = (1'000'000 - 64 * 1024) / 4 * 3;
+static_assert(maxBytesPerWrite >= maxJobRowBytes);
+
 /// Value of a job row that a cancellation wrote because there was no row. A write of the job that
 /// is still in progress then fails, because it requires that the row is absent.
 std::string encodeTombstone();
