Close the connection of a held order in the soak's hosts once the daemon has closed it

Cause: the check. A host kept the connection of an order that gets no answer for 1 s, also if the daemon had given it up after 200 ms and closed it.

Change: with FaultyServerOptions::closesWithClient, which only the soak's hosts set, a connection is closed once its client has closed it, also while a request on it waits. The check and its bound of 24 stay. Connections of paused daemons and those kept after a loss of power remain in use. A refusal logs connections in use, held orders and requests given up.

--- a/tests/soak/hoststandin.cpp
+++ b/tests/soak/hoststandin.cpp
@@ -24,7 +24,8 @@
 /// Number of ends in one answer.
 constexpr std::size_t maxEndsPerAnswer = 500;
 constexpr const char *forgottenJob = "f0f0f0f0f0f0f0f0";
-/// Time for which the connection of an order that gets no answer stays open.
+/// Time after which the connection of an order that gets no answer is closed, if the daemon has not
+/// closed it before.
 constexpr Duration orderDropDelay = milliseconds(1000);
 /// Share of the runs whose task fails by itself.
 constexpr double failureShare = 0.03;
@@ -40,7 +41,8 @@
     , m_server(std::make_unique<standins::FaultyServer>(
           loop,
           standins::FaultyServerOptions{.listen = {"127.0.0.1", 0},
-                                        .maxConnections = maxConnections},
+                                        .maxConnections = maxConnections,
+                                        .closesWithClient = true},
           [this](const HttpRequest &request, const std::string &,
                  const standins::FaultyResponder &respond) { serve(request, respond); }))
     , m_lastTickAt(std::chrono::steady_clock::now())
@@ -129,6 +131,16 @@
     return m_heldOrders;
 }
 
+std::size_t HostStandin::openConnections() const
+{
+    return m_server->openConnections();
+}
+
+std::size_t HostStandin::abandonedRequests() const
+{
+    return m_server->abandonedRequests();
+}
+
 std::string HostStandin::bootName() const
 {
     return m_options.id + "/" + std::to_string(m_bootTimeMs);
--- a/tests/soak/hoststandin.h
+++ b/tests/soak/hoststandin.h
@@ -60,8 +60,13 @@
     void fillEndList();
     /// Returns how many connections were closed because of the limit.
     std::size_t refusedConnections() const;
-    /// Returns the number of orders that get no answer and whose connections are still open here.
+    /// Returns the number of orders that are left without an answer at present.
     int heldOrders() const;
+    /// Returns how many connections are in use.
+    std::size_t openConnections() const;
+    /// Returns how many orders and renewals have no answer yet and were given up by their daemon,
+    /// so that their connections are no longer in use.
+    std::size_t abandonedRequests() const;
 
 private:
     struct Run
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -293,7 +293,9 @@
         const std::size_t refused = m_hosts[n]->refusedConnections();
         if (refused > std::exchange(m_refusedConnections[n], refused)) {
             logEvent("refused connections: " + std::to_string(refused) + "; "
-                     + std::to_string(m_hosts[n]->heldOrders()) + " are in use by held orders");
+                     + std::to_string(m_hosts[n]->openConnections()) + " in use, "
+                     + std::to_string(m_hosts[n]->heldOrders()) + " orders held, "
+                     + std::to_string(m_hosts[n]->abandonedRequests()) + " requests abandoned");
             m_checker.reportViolation(
                 "CONNECTIONS", m_hosts[n]->id() + " refused connections because all were in use");
         }
--- a/tests/standins/faultyserver.cpp
+++ b/tests/standins/faultyserver.cpp
@@ -40,6 +40,7 @@
     tcp::acceptor acceptor;
     std::atomic<std::size_t> openConnections{0};
     std::atomic<std::size_t> refusedConnections{0};
+    std::atomic<std::size_t> abandonedRequests{0};
 };
 
 namespace {
@@ -61,7 +62,10 @@
 
     ~Connection()
     {
-        --m_server->openConnections;
+        leave();
+        if (m_abandoned) {
+            --m_server->abandonedRequests;
+        }
     }
 
     Connection(const Connection &) = delete;
@@ -80,8 +84,49 @@
     }
 
 private:
+    /// No longer counts the connection as in use.
+    void leave()
+    {
+        if (std::exchange(m_counted, false)) {
+            --m_server->openConnections;
+        }
+    }
+
+    /// Closes the connection once the client has closed it, unless an answer is sent before.
+    void watchClient()
+    {
+        m_stream.socket().async_wait(tcp::socket::wait_read,
+                                     [self = shared_from_this()](beast::error_code ec) {
+                                         if (!ec && self->m_handling && self->hasClientClosed()) {
+                                             self->abandon();
+                                         }
+                                     });
+    }
+
+    bool hasClientClosed()
+    {
+        beast::error_code ec;
+        auto &socket = m_stream.socket();
+        socket.non_blocking(true, ec);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        return ec && ec != asio::error::would_block;
+    }
+
+    void abandon()
+    {
+        m_abandoned = true;
+        ++m_server->abandonedRequests;
+        m_stream.close();
+        leave();
+    }
+
     void handleRequest()
     {
+        if (m_server->options.closesWithClient) {
+            m_handling = true;
+            watchClient();
+        }
         auto &message = m_parser->get();
         const bool keepAlive = message.keep_alive();
         HttpRequest request{.method = std::string(message.method_string()),
@@ -100,6 +145,13 @@
 
     void respond(const HttpResponse &response, bool keepAlive, Delivery delivery)
     {
+        if (m_abandoned) {
+            return;
+        }
+        if (std::exchange(m_handling, false)) {
+            beast::error_code ec;
+            m_stream.socket().cancel(ec);
+        }
         if (delivery == Delivery::Dropped) {
             m_stream.close();
             return;
@@ -131,6 +183,12 @@
     beast::flat_buffer m_buffer;
     std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
     std::string m_answer;
+    /// Whether the connection counts as in use.
+    bool m_counted = true;
+    /// Whether a request has no answer yet and watchClient() waits.
+    bool m_handling = false;
+    /// Whether the client closed the connection before the answer.
+    bool m_abandoned = false;
 };
 
 } // namespace
@@ -188,4 +246,14 @@
     return m_impl->refusedConnections;
 }
 
+std::size_t FaultyServer::openConnections() const
+{
+    return m_impl->openConnections;
+}
+
+std::size_t FaultyServer::abandonedRequests() const
+{
+    return m_impl->abandonedRequests;
+}
+
 } // namespace acaciadeal::standins
--- a/tests/standins/faultyserver.h
+++ b/tests/standins/faultyserver.h
@@ -34,6 +34,9 @@
     Endpoint listen;
     /// Connections beyond this number are closed immediately; 0 means no limit.
     std::size_t maxConnections = 0;
+    /// Whether a connection is closed as soon as the client closes it, also while a request on it
+    /// has no answer yet. Otherwise such a connection stays in use until the request is answered.
+    bool closesWithClient = false;
 };
 
 /// HTTP/1.1 server that can truncate or drop answers, which HttpServer cannot. Thread-safe.
@@ -55,6 +58,11 @@
 
     /// Returns how many connections were closed because of the limit.
     std::size_t refusedConnections() const;
+    /// Returns how many connections are in use.
+    std::size_t openConnections() const;
+    /// Returns how many requests have no answer yet although their client has closed the
+    /// connection. Always 0 without FaultyServerOptions::closesWithClient.
+    std::size_t abandonedRequests() const;
 
     /// Defined in the source file.
     struct Impl;
--- a/tests/standins/standins_test.cpp
+++ b/tests/standins/standins_test.cpp
@@ -7,7 +7,9 @@
 
 #include <doctest/doctest.h>
 #include <future>
+#include <mutex>
 #include <set>
+#include <thread>
 
 using namespace acaciadeal;
 using namespace acaciadeal::standins;
@@ -143,3 +145,59 @@
     REQUIRE_FALSE(truncated.response);
     CHECK(truncated.response.error().code == ResultCode::IncompleteAnswer);
 }
+
+// Guards against a stand-in that counts connections as in use that the client has closed, and
+// against one that closes those of a client that still waits.
+TEST_CASE("the faulty server closes a connection with its client if told so")
+{
+    for (const bool closesWithClient : {false, true}) {
+        CAPTURE(closesWithClient);
+        std::mutex mutex;
+        std::vector<FaultyResponder> held;
+        EventLoop serverLoop({.threads = 1});
+        FaultyServer server(
+            serverLoop,
+            {.listen = {"127.0.0.1", 0}, .maxConnections = 1, .closesWithClient = closesWithClient},
+            [&](const HttpRequest &request, const std::string &, const FaultyResponder &respond) {
+                if (request.target == "/held") {
+                    const std::lock_guard lock(mutex);
+                    held.push_back(respond);
+                } else if (request.target == "/late") {
+                    serverLoop.postAfter(100ms, [respond] { respond({}, Delivery::Whole); });
+                } else {
+                    respond({}, Delivery::Whole);
+                }
+            });
+        REQUIRE(server.start());
+        EventLoop loop({.threads = 1});
+        HttpClient client(loop, {});
+        const auto call = [&](const std::string &target, Duration timeout) {
+            std::promise<bool> answered;
+            client.send(server.endpoint(), {.method = "GET", .target = target},
+                        {.timeout = timeout}, [&](const HttpOutcome &result) {
+                            answered.set_value(result.response.has_value());
+                        });
+            return answered.get_future().get();
+        };
+        // Several requests on one connection, answered at once and later.
+        for (const char *target : {"/", "/late", "/late", "/"}) {
+            CHECK(call(target, 60s));
+        }
+        CHECK(server.openConnections() == 1);
+        CHECK(server.abandonedRequests() == 0);
+        CHECK_FALSE(call("/held", 100ms));
+        for (int n = 0; n < 500 && closesWithClient && server.openConnections() > 0; ++n) {
+            std::this_thread::sleep_for(10ms);
+        }
+        CHECK(server.openConnections() == (closesWithClient ? 0 : 1));
+        CHECK(server.abandonedRequests() == (closesWithClient ? 1 : 0));
+        CHECK(call("/", 60s) == closesWithClient);
+        CHECK(server.refusedConnections() == (closesWithClient ? 0 : 1));
+        const std::lock_guard lock(mutex);
+        REQUIRE(held.size() == 1);
+        held.front()({}, Delivery::Whole);
+        held.clear();
+        loop.stop();
+        serverLoop.stop();
+    }
+}
