Let child processes of the test harness inherit only their standard streams

Cause: the harness. posix_spawn() passed all open sockets of the soak on to the daemons, so that a connection that a proxy or a stand-in closed stayed open until all daemons that were started meanwhile had ended. Hosts counted it as in use, and daemons did not see resets and closes of theirs.

Change: Process closes all descriptors above standard error in the child.

Result: the new case of harness_test fails without the change and passes with it, as do its 10 others. The failure tests, which use the same class, were not run.

--- a/tests/failure/harness_test.cpp
+++ b/tests/failure/harness_test.cpp
@@ -1,12 +1,15 @@
 #include "failure/cluster.h"
 #include "failure/load.h"
+#include "failure/process.h"
 #include "standins/workerjson.h"
 
 #include <algorithm>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 using namespace acaciadeal;
 using namespace acaciadeal::failure_tests;
@@ -270,3 +273,18 @@
     CHECK(WEXITSTATUS(*process.status()) == 0);
     CHECK_THROWS_AS(Process({"/absent/program"}, folder.file("log2")), std::runtime_error);
 }
+
+// Guards against connections that stay open after a harness has closed them.
+TEST_CASE("a child process does not keep the harness's files open")
+{
+    TemporaryFolder folder;
+    int pipeEnds[2] = {};
+    REQUIRE(pipe(pipeEnds) == 0);
+    Process child({"/bin/sleep", "60"}, folder.file("log"));
+    close(pipeEnds[1]);
+    pollfd end{.fd = pipeEnds[0], .events = POLLIN};
+    CHECK(poll(&end, 1, 10000) == 1);
+    CHECK((end.revents & POLLHUP) != 0);
+    CHECK_FALSE(child.status());
+    close(pipeEnds[0]);
+}
--- a/tests/failure/process.cpp
+++ b/tests/failure/process.cpp
@@ -33,6 +33,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A connection that this process closes would stay open as long as a child has inherited it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error =
         posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/failure/process.h
+++ b/tests/failure/process.h
@@ -12,8 +12,8 @@
 class Process
 {
 public:
-    /// Starts @p command and appends its output to @p logFile. Throws std::runtime_error if the
-    /// process cannot be started.
+    /// Starts @p command and appends its output to @p logFile. The child inherits no other open
+    /// files. Throws std::runtime_error if the process cannot be started.
     Process(const std::vector<std::string> &command, const std::string &logFile);
     ~Process();
     Process(const Process &) = delete;
