--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -62,7 +62,7 @@
     if (isTerminal(job.progress.outcome)) {
         return job.progress.outcome;
     }
-    return job.startConfirmed ? JobState::Running : JobState::Queued;
+    return job.startConfirmed || job.startOrdered ? JobState::Running : JobState::Queued;
 }
 
 void countJob(FleetState &fleet, const JobRuntime &job, bool adds)
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -177,7 +177,7 @@
 struct QueueCounts
 {
     std::size_t live = 0;
-    /// Jobs that callers see as queued.
+    /// Jobs of which no host has confirmed the start of a task.
     std::size_t pending = 0;
     /// Pending jobs with start orders.
     std::size_t unconfirmed = 0;
@@ -234,7 +234,8 @@
 const JobRuntime *findJob(const FleetState &fleet, const JobId &job);
 FleetHost *findHost(FleetState &fleet, const HostId &host);
 
-/// Returns the job's state as reported to callers.
+/// Returns the job's state as reported to callers. A job counts as running from its first start
+/// order on, whether a task of it has begun or not; it stays pending until a start is confirmed.
 JobState stateOf(const JobRuntime &job);
 
 /// Calls @p change and updates the counts of the job's queue. Everything that changes whether a job
--- a/packages/fleet/jobrows.cpp
+++ b/packages/fleet/jobrows.cpp
@@ -102,10 +102,7 @@
     if (isTerminal(job.progress.outcome)) {
         return job.progress.outcome;
     }
-    if (job.cancelled) {
-        return JobState::Cancelled;
-    }
-    return showsStart(job.progress) ? JobState::Running : JobState::Queued;
+    return job.cancelled ? JobState::Cancelled : JobState::Running;
 }
 
 } // namespace acaciadeal
--- a/packages/fleet/jobrows.h
+++ b/packages/fleet/jobrows.h
@@ -54,7 +54,7 @@
                                    std::vector<Error> &ignored);
 
 /// Returns the state of a job according to its rows. A job that has neither ended nor been
-/// cancelled is running if its progress shows a start, and queued otherwise.
+/// cancelled counts as running, because the rows do not show whether it still waits.
 JobState storedState(const StoredJob &job);
 
 } // namespace acaciadeal
