--- a/packages/fleet/internal/progresswriter.cpp
+++ b/packages/fleet/internal/progresswriter.cpp
@@ -112,7 +112,7 @@
     std::erase_if(m_separate, [&dirty](const JobId &id) { return !dirty.contains(id); });
     std::erase_if(m_rejected, [&dirty](const auto &entry) { return !dirty.contains(entry.first); });
     std::size_t bytes = 0;
-    const auto takeAlone = [&](const JobId id) {
+    const auto takeAlone = [&](const JobId &id) {
         addRow(transaction, *findJob(m_env.fleet, id), bytes);
         dirty.erase(id);
         return std::vector<JobId>{id};
--- a/packages/fleet/jobfrontend_test.cpp
+++ b/packages/fleet/jobfrontend_test.cpp
@@ -288,6 +288,7 @@
     fixture.payload = std::string(40'000, 'x');
     fixture.delay = milliseconds(5);
     std::vector<std::string> ids;
+    ids.reserve(41);
     for (int n = 0; n < 41; ++n) {
         ids.push_back("j" + std::to_string(n));
     }
