--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -462,9 +462,10 @@
         return status == 410 ? "unknown" : "";
     }
     const json answer = json::parse(outcome.response->body, nullptr, false);
-    const bool readable = answer.is_object() && answer.contains("state")
-                          && answer["state"].is_string() && answer["state"] != "";
-    return readable ? answer["state"].get<std::string>() : "unreadable: " + outcome.response->body;
+    const bool hasState =
+        answer.is_object() && answer.contains("state") && answer["state"].is_string();
+    const std::string state = hasState ? answer["state"].get<std::string>() : "";
+    return state.empty() ? "unreadable: " + outcome.response->body : state;
 }
 
 void Soak::askPendingCount(const Daemon &daemon, std::function<void(std::size_t)> callback)
