Count a holder that released its shard as stopped when the release was read

What callers could see: a task that runs twice after a planned stop of the holder while the store is slow.

Cause: the time at which the previous holder had certainly stopped was that at which the read was sent that found the shard released. The holder may have acted and extended leases between that moment and its release, so the next one took them for expired too early, by as much as the read took.

Evidence: with the line of before, the new case of fleet_test fails. Change: for a released shard the time is that of the answer, which was sent after the release. A shard whose heartbeat has expired is judged as before.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -886,6 +886,10 @@
     bool holdsNextWrite = false;
     std::function<void()> heldWrite;
     std::array<std::uint64_t, 2> epochs{};
+    std::array<TimePoint, 2> previousStoppedAt{};
+    /// Delay of the reads of the second daemon before the store executes them.
+    Duration readDelay{0};
+    int readsInProgress = 0;
     std::vector<std::unique_ptr<ShardOwnership>> daemons;
 
     CompetingDaemons()
@@ -903,11 +907,14 @@
                                  .claimTimeout = milliseconds(300),
                                  .pollEvery = milliseconds(20),
                                  .retryDelay = milliseconds(20)},
-                OwnershipCallbacks{
-                    .onHeld = [this, n](std::uint64_t epoch, TimePoint) { epochs[n] = epoch; },
-                    .onLost =
-                        [](const std::string &) {
-                        }}));
+                OwnershipCallbacks{.onHeld =
+                                       [this, n](std::uint64_t epoch, TimePoint stoppedAt) {
+                                           epochs[n] = epoch;
+                                           previousStoppedAt[n] = stoppedAt;
+                                       },
+                                   .onLost =
+                                       [](const std::string &) {
+                                       }}));
         }
     }
 
@@ -934,6 +941,12 @@
         adapters[n].readTable = [this, n](const std::string &table, SnapshotCallback callback) {
             if (cutOff[n]) {
                 refuse(std::move(callback));
+            } else if (n == 1 && readDelay > Duration(0)) {
+                ++readsInProgress;
+                loop.postAfter(readDelay, [this, table, callback = std::move(callback)] {
+                    --readsInProgress;
+                    store.readTable(table, callback);
+                });
             } else {
                 store.readTable(table, std::move(callback));
             }
@@ -1501,3 +1514,21 @@
     CHECK(eventually(cluster.loop,
                      [&] { return holder.countPendingJobs("q") == Result<std::size_t>(0); }));
 }
+
+// Guards against leases that are taken for expired too early: the read that finds the shard
+// released takes long, and the holder acted until after it was sent.
+TEST_CASE("a holder that released its shard counts as stopped when the release was read")
+{
+    CompetingDaemons fixture;
+    fixture.start(0);
+    REQUIRE(eventually(fixture.loop, [&] { return fixture.daemons[0]->mayAct(); }));
+    onLoop(fixture.loop, [&] { return fixture.readDelay = milliseconds(100); });
+    fixture.start(1);
+    REQUIRE(eventually(fixture.loop, [&] { return fixture.readsInProgress > 0; }));
+    const TimePoint releasedAt = onLoop(fixture.loop, [&] {
+        fixture.daemons[0]->release([] {});
+        return bootClockNow();
+    });
+    REQUIRE(eventually(fixture.loop, [&] { return fixture.daemons[1]->mayAct(); }));
+    CHECK(onLoop(fixture.loop, [&] { return fixture.previousStoppedAt[1]; }) >= releasedAt);
+}
--- a/packages/fleet/ownership.cpp
+++ b/packages/fleet/ownership.cpp
@@ -163,22 +163,25 @@
                                .daemon = m_options.daemon,
                                .incarnation = m_options.incarnation,
                                .peer = m_options.peer};
+    // The holder may have acted and released the shard after the read was sent.
+    const TimePoint stoppedAt = m_owner.released ? bootClockNow() : readSentAt;
     // The check of the heartbeat row makes a claim fail that the store executes late, after the
     // holder has written another heartbeat.
     Transaction transaction{
         .checks = {{ownerKey(), m_ownerVersion}, {heartbeatKey(), m_heartbeatVersion}},
         .puts = {{ownerKey(), encodeOwner(newOwner)},
                  {heartbeatKey(), std::to_string(newOwner.epoch)}}};
-    m_platform.commit(std::move(transaction),
-                      [this, newOwner, readSentAt](const Result<CommitVersions> &result) {
-                          if (result) {
-                              m_owner = newOwner;
-                          }
-                          onClaimed(result, readSentAt);
-                      });
+    m_platform.commit(std::move(transaction), [this, newOwner, readSentAt,
+                                               stoppedAt](const Result<CommitVersions> &result) {
+        if (result) {
+            m_owner = newOwner;
+        }
+        onClaimed(result, readSentAt, stoppedAt);
+    });
 }
 
-void ShardOwnership::onClaimed(const Result<CommitVersions> &result, TimePoint sentAt)
+void ShardOwnership::onClaimed(const Result<CommitVersions> &result, TimePoint sentAt,
+                               TimePoint stoppedAt)
 {
     if (!result || m_stopped) {
         // If the write took effect nevertheless, the next read shows this daemon as the owner, and
@@ -192,7 +195,7 @@
     m_heartbeatVersion = result->at(heartbeatKey());
     logEvent(EventId::ShardClaimed,
              {{"shard", m_options.shard}, {"epoch", std::to_string(m_owner.epoch)}});
-    m_callbacks.onHeld(m_owner.epoch, sentAt);
+    m_callbacks.onHeld(m_owner.epoch, stoppedAt);
     scheduleNext(m_options.heartbeatEvery);
 }
 
--- a/packages/fleet/ownership.h
+++ b/packages/fleet/ownership.h
@@ -90,7 +90,7 @@
     void onRows(const Result<RowSnapshot> &snapshot, TimePoint sentAt);
     void claimIfFree(TimePoint readSentAt);
     void claim(TimePoint readSentAt);
-    void onClaimed(const Result<CommitVersions> &result, TimePoint sentAt);
+    void onClaimed(const Result<CommitVersions> &result, TimePoint sentAt, TimePoint stoppedAt);
     void writeHeartbeat();
     void onHeartbeatWritten(const Result<CommitVersions> &result, TimePoint sentAt);
     void writeRelease(TimePoint until, std::function<void()> done);
