Hand the leases and runs of hosts over to the next holder

Cause: a new holder started no task of an earlier job before every host of its predecessor had reported, or was past a whole lease counted from the stop of the predecessor. A host that is gone never reports, so one of them held up all jobs for a lease, and each change of the holder began that wait anew. The previous holder knew which runs were on the host and when its lease ended; that knowledge was lost with it.

Change: a holder stores a lease record beside the roster. Before a planned stop it lists all hosts, with their remaining leases and runs; at any other time the hosts that failed two renewals, whose leases it does not extend while the record says so. The next holder takes the runs over as uncertain ones, so that only they wait for a silent host, and not longer than the lease that was granted. Runs are left out while ends are not durable. Fencing tokens, the factor for slow clocks and the wait for hosts that no record describes are as before.

--- a/packages/base/event.cpp
+++ b/packages/base/event.cpp
@@ -122,6 +122,12 @@
               "The holder did not confirm the announcement of a stored job."},
     EventInfo{EventId::RowRejected, Severity::Warning, "RowRejected",
               "The platform rejects a row; it is retried alone."},
+    EventInfo{EventId::LeasesInherited, Severity::Info, "LeasesInherited",
+              "A new holder has read which hosts may hold leases of the previous one."},
+    EventInfo{EventId::LeasesHandedOver, Severity::Info, "LeasesHandedOver",
+              "A holder that stops stores which runs may be on which hosts, and until when."},
+    EventInfo{EventId::RecoveryFinished, Severity::Info, "RecoveryFinished",
+              "A new holder no longer waits for hosts with unknown runs."},
 };
 
 } // namespace
--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -74,6 +74,9 @@
     PendingJobsCounted = 8024,
     HolderNotNotified = 8025,
     RowRejected = 8026,
+    LeasesInherited = 8027,
+    LeasesHandedOver = 8028,
+    RecoveryFinished = 8029,
 };
 
 /// Entry of the event catalogue.
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -296,6 +296,25 @@
     }
 }
 
+/// Records that a waiting task has a run that an earlier holder ordered.
+void adoptRun(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
+              FleetHost &host, std::uint64_t run, TaskPhase phase, TimePoint now)
+{
+    task.phase = phase;
+    --job.steps[key.step].waiting;
+    task.run = run;
+    task.host = host.id;
+    task.phaseSince = now;
+    task.progressedAt = now;
+    task.pace = unknownPace;
+    addRun(host, job, key, run);
+    addEvent(dispatcher, {.kind = DispatchEvent::Kind::RunAdopted,
+                          .job = key.job,
+                          .taskName = describe(key),
+                          .host = host.id,
+                          .run = run});
+}
+
 void applyActiveRun(Dispatcher &dispatcher, FleetHost &host, const PresentRun &active,
                     TimePoint now)
 {
@@ -307,19 +326,7 @@
     }
     if (known && task->phase == TaskPhase::Waiting && active.run > task->run
         && !isTerminal(job->progress.outcome)) {
-        task->phase = TaskPhase::Running;
-        --job->steps[active.task.step].waiting;
-        task->run = active.run;
-        task->host = host.id;
-        task->phaseSince = now;
-        task->progressedAt = now;
-        task->pace = unknownPace;
-        addRun(host, *job, active.task, active.run);
-        addEvent(dispatcher, {.kind = DispatchEvent::Kind::RunAdopted,
-                              .job = active.task.job,
-                              .taskName = describe(active.task),
-                              .host = host.id,
-                              .run = active.run});
+        adoptRun(dispatcher, *job, active.task, *task, host, active.run, TaskPhase::Running, now);
     }
     if (!known || !isCurrentRun(*task, host.id, active.run)) {
         addOrphanedRun(host, job, active);
@@ -370,7 +377,7 @@
                                   .host = host.id,
                                   .run = run,
                                   .reason = confirmed ? "the host no longer reports the run"
-                                                      : "the run never started"});
+                                                      : "the host does not have the run"});
             returnToWaiting(dispatcher, *job, key, *task, now);
         }
     }
@@ -603,6 +610,21 @@
     }
 }
 
+void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
+                TimePoint now)
+{
+    JobRuntime *const job = findJob(dispatcher.fleet, key.job);
+    TaskRuntime *const task = findTask(dispatcher.fleet, key);
+    FleetHost *const state = findHost(dispatcher.fleet, host);
+    if (job == nullptr || task == nullptr || state == nullptr || isTerminal(job->progress.outcome)
+        || task->phase != TaskPhase::Waiting || run <= task->run) {
+        return;
+    }
+    // The order may still be on its way to the host.
+    adoptRun(dispatcher, *job, key, *task, *state, run, TaskPhase::Uncertain, now);
+    updateQueueCounts(dispatcher.fleet, *job, [job] { job->startOrdered = true; });
+}
+
 void applyReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
                  TimePoint sentAt, bool fenced, TimePoint now)
 {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -107,6 +107,12 @@
 void mergeProgress(Dispatcher &dispatcher, const JobId &job, const JobProgress &stored,
                    TimePoint now);
 
+/// Takes over a run that the previous holder ordered on @p host, which has not reported to this
+/// holder yet. The task waits until a report, or the end of the host's lease, shows that the run is
+/// over. Does nothing if the task is unknown, done, of an ended job, or has a run already.
+void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
+                TimePoint now);
+
 /// Applies the report of a host. @p sentAt is the time at which the lease renewal was sent.
 /// @p fenced says whether the renewal carried the newest fencing token for the host, so that orders
 /// sent before it can no longer take effect.
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fakehosts.h"
 #include "fleet/holder.h"
+#include "fleet/internal/leaserecord.h"
 #include "fleet/internal/progresswriter.h"
 #include "fleet/jobrows.h"
 #include "fleet/ownership.h"
@@ -87,6 +88,8 @@
     int refusedJobTables = 0;
     /// Time after which reads of changed jobs fail; unset if they succeed.
     std::optional<Duration> changesTimeout;
+    /// Whether the answers to writes of the roster are lost, and the writes as well.
+    bool losesRosterWrites = false;
     /// Whether reads of changed jobs fail because the store has dropped the history of changes.
     bool historyLost = false;
     /// Whether each answer has only the first of the changes, and says so.
@@ -176,6 +179,13 @@
                 });
                 return;
             }
+            if (losesRosterWrites && !transaction.puts.empty()
+                && transaction.puts[0].key == "roster/main") {
+                loop.post([callback = std::move(callback)] {
+                    callback(failure(ResultCode::WriteOutcomeUnknown, "no answer"));
+                });
+                return;
+            }
             const bool isRejected =
                 !rejectedProgress.empty()
                 && std::any_of(transaction.puts.begin(), transaction.puts.end(),
@@ -254,6 +264,95 @@
         });
     }
 
+    /// Stops the holder of @p epoch like a daemon that is shut down.
+    void stopHolderAsPlanned(int epoch)
+    {
+        std::promise<void> finished;
+        loop.post([&] { holders[epoch]->finish([&finished] { finished.set_value(); }); });
+        finished.get_future().get();
+        runOnLoop([&] {
+            mayAct[epoch] = false;
+            holders[epoch]->stop();
+        });
+    }
+
+    /// Stops the holder of @p epoch like a daemon that loses power.
+    void stopHolderAtOnce(int epoch)
+    {
+        runOnLoop([&] {
+            mayAct[epoch] = false;
+            holders[epoch]->stop();
+        });
+    }
+
+    /// Submits job "j", waits until its task runs, and returns the host.
+    std::string runOneTask()
+    {
+        submit(oneTaskJob("j"));
+        REQUIRE(waitUntilRunning("j"));
+        return hostOf("j");
+    }
+
+    /// Lets the host fall silent, and if @p gone ends its runs.
+    void silenceHost(const std::string &id, bool gone)
+    {
+        runOnLoop([&] {
+            hosts.host(id).unresponsive = true;
+            if (gone) {
+                hosts.host(id).active.clear();
+                unlisted.insert(id);
+            }
+        });
+    }
+
+    /// Returns the stored lease record.
+    internal::LeaseRecord storedLeases()
+    {
+        std::promise<internal::LeaseRecord> record;
+        loop.post([&] {
+            platform.readTable("roster", [&record](const Result<RowSnapshot> &snapshot) {
+                std::vector<std::string> rows;
+                for (const Row &row : snapshot->rows) {
+                    if (row.key.starts_with("roster/leases.")) {
+                        rows.push_back(row.value);
+                    }
+                }
+                record.set_value(*internal::decodeLeases(rows));
+            });
+        });
+        return record.get_future().get();
+    }
+
+    /// Waits until the stored lease record lists the host, or until it does not.
+    bool waitUntilRecorded(const std::string &id, bool listed)
+    {
+        const TimePoint deadline = bootClockNow() + testTimeout;
+        while (bootClockNow() < deadline) {
+            if (storedLeases().hosts.contains({id}) == listed) {
+                return true;
+            }
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        return false;
+    }
+
+    /// Waits until the task of job "j" has been started on another host than @p first. Returns the
+    /// largest number of its runs that were active at the same time until then; unset if it does
+    /// not start.
+    std::optional<int> activeRunsUntilStartedElsewhere(const std::string &first)
+    {
+        int maxActive = 0;
+        const bool started = eventually(loop, [&] {
+            maxActive = std::max(maxActive, hosts.activeRuns(taskOf("j")));
+            const std::vector<HostRecord> records = hosts.records();
+            return std::any_of(records.begin(), records.end(), [&](const HostRecord &record) {
+                const auto &active = hosts.host(record.host.value).active;
+                return record.host.value != first && active.contains(taskOf("j"));
+            });
+        });
+        return started ? std::optional(maxActive) : std::nullopt;
+    }
+
     /// Stores a job's row as JobFrontend does; the holder finds it by reading the job table.
     void submit(const JobSpec &job)
     {
@@ -1515,6 +1614,150 @@
                      [&] { return holder.countPendingJobs("q") == Result<std::size_t>(0); }));
 }
 
+// Guards against a wait for the lease of a host that starts anew with each change of the holder, so
+// that tasks of hosts that are gone stay away while daemons are stopped in turn. Issue 30.
+TEST_CASE("the task of a host that is gone waits for one lease although the holder changes twice")
+{
+    Cluster cluster(2);
+    cluster.hostLease = milliseconds(2000);
+    cluster.startHolder(1);
+    const std::string gone = cluster.runOneTask();
+    const TimePoint goneAt = bootClockNow();
+    cluster.silenceHost(gone, true);
+    std::this_thread::sleep_for(milliseconds(900));
+    cluster.stopHolderAsPlanned(1);
+    cluster.startHolder(2);
+    std::this_thread::sleep_for(milliseconds(900));
+    cluster.stopHolderAsPlanned(2);
+    cluster.startHolder(3);
+    REQUIRE(cluster.waitUntilRunning("j"));
+    // The lease as the holder counts it is 2.2 s.
+    CHECK(bootClockNow() - goneAt < milliseconds(3200));
+    CHECK(cluster.startCount("j") == 2);
+}
+
+// Guards against one silent host that holds up the tasks of all jobs under a new holder.
+TEST_CASE("after a planned stop only the tasks of a silent host wait for its lease")
+{
+    Cluster cluster(2);
+    cluster.hostLease = milliseconds(8000);
+    cluster.startHolder(1);
+    const std::string silent = cluster.runOneTask();
+    cluster.silenceHost(silent, false);
+    cluster.stopHolderAsPlanned(1);
+    cluster.submit(oneTaskJob("waiting"));
+    const TimePoint startedAt = bootClockNow();
+    cluster.startHolder(2);
+    REQUIRE(cluster.waitUntilRunning("waiting"));
+    CHECK(bootClockNow() - startedAt < cluster.hostLease / 2);
+    CHECK(cluster.startCount("j") == 1);
+}
+
+// The same if the holder loses power after it has noticed that the host is silent.
+TEST_CASE("after a loss of power only the tasks of a host known to be silent wait for its lease")
+{
+    Cluster cluster(2);
+    cluster.hostLease = milliseconds(8000);
+    cluster.startHolder(1);
+    const std::string silent = cluster.runOneTask();
+    cluster.silenceHost(silent, false);
+    REQUIRE(cluster.waitUntilRecorded(silent, true));
+    cluster.stopHolderAtOnce(1);
+    cluster.submit(oneTaskJob("waiting"));
+    const TimePoint startedAt = bootClockNow();
+    cluster.startHolder(2);
+    REQUIRE(cluster.waitUntilRunning("waiting"));
+    CHECK(bootClockNow() - startedAt < cluster.hostLease / 2);
+    CHECK(cluster.startCount("j") == 1);
+}
+
+// Guards against a second run: the next holder knows the lease of a silent host, on which the task
+// runs until the lease expires.
+TEST_CASE("a task on a silent host that a holder handed over starts elsewhere after its lease")
+{
+    Cluster cluster(2);
+    cluster.startHolder(1);
+    const std::string silent = cluster.runOneTask();
+    cluster.silenceHost(silent, false);
+    SUBCASE("planned stop")
+    {
+        cluster.stopHolderAsPlanned(1);
+    }
+    SUBCASE("loss of power")
+    {
+        REQUIRE(cluster.waitUntilRecorded(silent, true));
+        cluster.stopHolderAtOnce(1);
+    }
+    cluster.startHolder(2);
+    CHECK(cluster.activeRunsUntilStartedElsewhere(silent) == 1);
+}
+
+// Guards against a second run: a host was silent for a while and its lease is extended again, and
+// the next holder counts the lease from before.
+TEST_CASE("the lease of a host that answers again is extended once the store no longer lists it")
+{
+    Cluster cluster(2);
+    cluster.hostLease = milliseconds(1500);
+    cluster.startHolder(1);
+    const std::string host = cluster.runOneTask();
+    cluster.silenceHost(host, false);
+    REQUIRE(cluster.waitUntilRecorded(host, true));
+    const milliseconds leaseUntil = onLoop(cluster.loop, [&] {
+        cluster.losesRosterWrites = true;
+        cluster.hosts.host(host).unresponsive = false;
+        return cluster.hosts.host(host).leaseUntil;
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.host(host).leaseUntil; }) == leaseUntil);
+    cluster.runOnLoop([&] { cluster.losesRosterWrites = false; });
+    REQUIRE(
+        eventually(cluster.loop, [&] { return cluster.hosts.host(host).leaseUntil > leaseUntil; }));
+    CHECK_FALSE(cluster.storedLeases().hosts.contains({host}));
+    CHECK(cluster.startCount("j") == 1);
+    cluster.silenceHost(host, false);
+    cluster.stopHolderAtOnce(1);
+    cluster.startHolder(2);
+    CHECK(cluster.activeRunsUntilStartedElsewhere(host) == 1);
+}
+
+// Guards against a task that runs again although it is done: the holder stops while the progress of
+// the job is not durable, and the next one takes the task for not started.
+TEST_CASE("a holder hands over no runs while progress is not durable")
+{
+    Cluster cluster(2);
+    cluster.startHolder(1);
+    const std::string host = cluster.runOneTask();
+    cluster.runOnLoop([&] {
+        cluster.rejectedProgress = {"j"};
+        cluster.hosts.endRun(host, taskOf("j"), RunEnd::Done);
+    });
+    REQUIRE(eventually(cluster.loop, [&] { return cluster.rejectedWrites > 0; }));
+    cluster.stopHolderAsPlanned(1);
+    const internal::LeaseRecord record = cluster.storedLeases();
+    CHECK(record.stopped);
+    REQUIRE(record.hosts.contains({host}));
+    CHECK_FALSE(record.hosts.at({host}).runs);
+}
+
+// Guards against a record of an older holder that is taken for that of the previous one.
+TEST_CASE("a lease record of an earlier epoch than the previous one is not used")
+{
+    Cluster cluster(2);
+    cluster.startHolder(1);
+    const std::string silent = cluster.runOneTask();
+    cluster.silenceHost(silent, false);
+    std::this_thread::sleep_for(lease * 3 / 4);
+    cluster.stopHolderAsPlanned(1);
+    // The holder of epoch 2 extended the lease and left no record.
+    cluster.runOnLoop([&] {
+        const Duration now = bootClockNow().time_since_epoch();
+        cluster.hosts.host(silent).leaseUntil =
+            std::chrono::duration_cast<milliseconds>(now) + lease;
+    });
+    cluster.startHolder(3);
+    CHECK(cluster.activeRunsUntilStartedElsewhere(silent) == 1);
+}
+
 // Guards against leases that are taken for expired too early: the read that finds the shard
 // released takes long, and the holder acted until after it was sent.
 TEST_CASE("a holder that released its shard counts as stopped when the release was read")
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -27,6 +27,11 @@
 /// Size of the range of run numbers that each epoch uses.
 constexpr std::uint64_t runsPerEpoch = 100'000;
 constexpr Duration readRetryDelay = milliseconds(200);
+/// After this many failed renewals in a row, the stored lease record says that the lease of the
+/// host is not extended. A single lost answer does not cost a write to the store.
+constexpr int failuresBeforeRecord = 2;
+/// Longest time for which a holder that stops waits for the write of its lease record.
+constexpr Duration lastWriteTimeout = milliseconds(500);
 /// Wait of a renewal to a host on which nothing runs; hosts accept at most 2 s.
 constexpr milliseconds idleRenewalWait{1900};
 /// If the last report of a host is at most this old, runs that ended on it since then belong to the
@@ -44,6 +49,12 @@
     return std::chrono::duration_cast<Duration>(lease * hostClockDriftFactor) + leaseExpiryMargin;
 }
 
+/// Converts a remaining time that another daemon measured; their clocks may differ.
+Duration remainingHere(milliseconds remaining)
+{
+    return std::chrono::duration_cast<Duration>(remaining * hostClockDriftFactor);
+}
+
 /// Returns whether the host reported ended runs that are durable and not acknowledged yet. Returns
 /// false for a host that failed to answer, because it may have restarted.
 bool hasUnacknowledgedEnds(const HostLink &link, const FleetHost &host)
@@ -59,6 +70,14 @@
     bool admitted = false;
 };
 
+/// A host that may hold a lease of an earlier holder.
+struct InheritedHost
+{
+    TimePoint leaseEnd;
+    /// Runs that may be on it; unset if they are not known.
+    std::optional<internal::HostRuns> runs;
+};
+
 /// A removal of ended jobs in progress. The progress rows are deleted last: a job row without a
 /// progress row would run again under the next holder.
 struct JobRemoval
@@ -111,7 +130,14 @@
     void updateHost(const HostRecord &record);
     void removeUnlistedHosts(TimePoint now);
     bool isListed(const HostId &id) const;
+    void onRosterRead();
+    void inheritRuns(TimePoint now);
     void openLinks();
+    bool isUnknown(const HostId &id) const;
+    internal::LeaseRecord leaseRecord(bool stopped, TimePoint now) const;
+    std::map<HostId, Endpoint> rosterHosts() const;
+    void writeRoster();
+    void writeLastLeases(std::function<void()> done);
     void tryFinishRecovery(TimePoint now);
     bool ensureJobChangesRead(TimePoint moment, TimePoint now);
 
@@ -179,6 +205,16 @@
     bool jobChangesReadFailed = false;
     /// Number of the newest timer for the next read; older timers do nothing when they fire.
     std::uint64_t jobChangesTimer = 0;
+    /// Hosts of the roster that the previous holder stored. The runs of each are moved to the
+    /// dispatcher once both tables have been read.
+    std::map<HostId, InheritedHost> inheritedHosts;
+    /// Whether that has been done.
+    bool runsInherited = false;
+    TimePoint startedAt = bootClockNow();
+    /// Hosts of the platform's last host list, as stored in the roster.
+    std::map<HostId, Endpoint> listedHosts;
+    /// Whether a host has to be added to the stored lease record, or removed from it.
+    bool leaseRecordOld = false;
     /// During recovery: since when the runs on all hosts are known; unset while they are not.
     std::optional<TimePoint> allHostsKnownAt;
     /// When the start orders without an answer were sent, by their numbers.
@@ -299,6 +335,7 @@
     logEvent(EventId::ShardRecovered, {{"epoch", std::to_string(options.epoch)},
                                        {"jobs", std::to_string(dispatcher.fleet.jobs.size())},
                                        {"live", std::to_string(dispatcher.fleet.liveJobs.size())}});
+    inheritRuns(now);
     readJobChangesAfter(options.readJobsEvery);
     for (auto &[id, link] : links) {
         if (link.clock && !link.renewing) {
@@ -351,23 +388,110 @@
     for (auto &[id, host] : dispatcher.fleet.hosts) {
         host.listed = false;
     }
-    std::map<HostId, Endpoint> rosterHosts;
+    listedHosts.clear();
     for (const HostRecord &record : *hosts) {
         updateHost(record);
-        rosterHosts[record.host] = record.endpoint;
+        listedHosts[record.host] = record.endpoint;
     }
     removeUnlistedHosts(bootClockNow());
+    writeRoster();
+    openLinks();
+    schedulePlan();
+}
+
+/// Stores the hosts that may hold a lease, and those whose leases are not extended.
+void FleetHolder::Impl::writeRoster()
+{
+    if (finishing || !roster.isRead() || roster.isWriting()) {
+        return;
+    }
+    leaseRecordOld = false;
+    roster.write(rosterHosts(), leaseRecord(false, bootClockNow()), guarded([this] {
+                     openLinks();
+                     const TimePoint now = bootClockNow();
+                     for (auto &[id, link] : links) {
+                         const FleetHost *const host = findHost(dispatcher.fleet, id);
+                         // The host has answered while its lease could not be extended.
+                         if (host != nullptr && !host->reachable && link.failures == 0 && link.clock
+                             && !link.renewing) {
+                             sendRenewal(link, milliseconds(0), now);
+                         }
+                     }
+                 }));
+}
+
+std::map<HostId, Endpoint> FleetHolder::Impl::rosterHosts() const
+{
+    std::map<HostId, Endpoint> hosts = listedHosts;
     for (const auto &[id, link] : links) {
-        rosterHosts.emplace(id, link.endpoint);
+        hosts.emplace(id, link.endpoint);
     }
-    for (const auto &[id, endpoint] : roster.inheritedHosts()) {
-        if (!recoveryFinished) {
-            rosterHosts.emplace(id, endpoint);
+    return hosts;
+}
+
+/// Returns whether the host may have runs of an earlier holder that this one does not know.
+bool FleetHolder::Impl::isUnknown(const HostId &id) const
+{
+    const auto it = inheritedHosts.find(id);
+    if (recoveryFinished || it == inheritedHosts.end() || it->second.runs) {
+        return false;
+    }
+    const auto host = dispatcher.fleet.hosts.find(id);
+    return host == dispatcher.fleet.hosts.end() || !host->second.reported;
+}
+
+/// Returns what is known of the leases; if @p stopped, of all leases, otherwise of those that this
+/// holder does not extend.
+internal::LeaseRecord FleetHolder::Impl::leaseRecord(bool stopped, TimePoint now) const
+{
+    internal::LeaseRecord record{.epoch = options.epoch, .stopped = stopped};
+    if (!runsInherited) {
+        return record;
+    }
+    const bool progressDurable = dispatcher.fleet.dirty.empty();
+    for (const auto &[id, link] : links) {
+        const auto host = dispatcher.fleet.hosts.find(id);
+        if ((!stopped && link.failures < failuresBeforeRecord)
+            || host == dispatcher.fleet.hosts.end()) {
+            continue;
+        }
+        internal::HostLease &lease = record.hosts[id];
+        lease.remaining =
+            std::chrono::ceil<milliseconds>(std::max(link.leaseEnd - now, TimePoint::duration(0)));
+        // The next holder starts tasks that are not listed, so the ends that this one has read have
+        // to be durable.
+        const bool endsDurable =
+            stopped ? progressDurable : host->second.lastDurableEnd == host->second.lastSeenEnd;
+        if (!isUnknown(id) && endsDurable) {
+            lease.runs = host->second.runs;
         }
     }
-    roster.write(rosterHosts, guarded([this] { openLinks(); }));
-    openLinks();
-    schedulePlan();
+    return record;
+}
+
+/// Stores for the next holder which runs may be on which hosts and until when, so that it need not
+/// wait for hosts that are gone.
+void FleetHolder::Impl::writeLastLeases(std::function<void()> done)
+{
+    if (!runsInherited || !env.mayAct() || self.expired()) {
+        done();
+        return;
+    }
+    const auto doneOnce = [done = std::move(done), called = std::make_shared<bool>(false)] {
+        if (!std::exchange(*called, true)) {
+            done();
+        }
+    };
+    internal::LeaseRecord record = leaseRecord(true, bootClockNow());
+    logEvent(EventId::LeasesHandedOver,
+             {{"epoch", std::to_string(options.epoch)},
+              {"hosts", std::to_string(record.hosts.size())},
+              {"unreachable", std::to_string(std::count_if(
+                                  links.begin(), links.end(),
+                                  [](const auto &entry) { return entry.second.failures > 0; }))},
+              {"progress_durable", dispatcher.fleet.dirty.empty() ? "yes" : "no"}});
+    roster.writeLast(rosterHosts(), std::move(record), doneOnce);
+    env.loop.postAfter(lastWriteTimeout, doneOnce);
 }
 
 void FleetHolder::Impl::updateHost(const HostRecord &record)
@@ -391,9 +515,10 @@
 {
     for (auto it = links.begin(); it != links.end();) {
         const FleetHost *const host = findHost(dispatcher.fleet, it->first);
-        const bool gone =
-            host == nullptr || (!host->listed && !host->reachable && now >= it->second.leaseEnd);
-        if (!gone || !recoveryFinished) {
+        const bool gone = host == nullptr
+                          || (!host->listed && !host->reachable && it->second.failures > 0
+                              && now >= it->second.leaseEnd);
+        if (!gone || !loaded) {
             ++it;
             continue;
         }
@@ -401,6 +526,7 @@
                         "the host is not in the host list any more and its lease has expired", now);
         minTokenCounter = std::max(minTokenCounter, it->second.tokenCounter + 1);
         dispatcher.fleet.hosts.erase(it->first);
+        inheritedHosts.erase(it->first);
         it = links.erase(it);
     }
 }
@@ -411,13 +537,67 @@
     return it != dispatcher.fleet.hosts.end() && it->second.listed;
 }
 
+/// Determines until when the hosts of the stored roster may hold leases of the previous holder.
+void FleetHolder::Impl::onRosterRead()
+{
+    const TimePoint now = bootClockNow();
+    const internal::LeaseRecord &record = roster.inheritedLeases();
+    const bool usable = record.epoch + 1 == options.epoch;
+    std::size_t unknown = 0;
+    for (const auto &[id, endpoint] : roster.inheritedHosts()) {
+        Duration remaining = maxLeaseDuration(options.lease);
+        std::optional<internal::HostRuns> runs;
+        const auto lease = record.hosts.find(id);
+        if (usable && lease != record.hosts.end()) {
+            remaining = std::min(remaining, remainingHere(lease->second.remaining));
+            runs = lease->second.runs;
+        } else if (usable && record.stopped) {
+            remaining = Duration(0);
+            runs.emplace();
+        }
+        unknown += runs ? 0 : 1;
+        inheritedHosts[id] = {.leaseEnd = options.previousStoppedAt + remaining,
+                              .runs = std::move(runs)};
+    }
+    if (options.epoch > 1) {
+        logEvent(EventId::LeasesInherited,
+                 {{"epoch", std::to_string(options.epoch)},
+                  {"record_epoch", std::to_string(record.epoch)},
+                  {"planned_stop", usable && record.stopped ? "yes" : "no"},
+                  {"hosts", std::to_string(inheritedHosts.size())},
+                  {"hosts_with_unknown_runs", std::to_string(unknown)}});
+    }
+    inheritRuns(now);
+    openLinks();
+}
+
+/// Takes over the runs in the previous holder's lease record, once the jobs are known as well and
+/// before any report is applied.
+void FleetHolder::Impl::inheritRuns(TimePoint now)
+{
+    if (runsInherited || !loaded || !roster.isRead()) {
+        return;
+    }
+    runsInherited = true;
+    for (auto &[id, inherited] : inheritedHosts) {
+        dispatcher.fleet.hosts[id].id = id;
+        if (inherited.runs) {
+            for (const auto &[task, run] : *inherited.runs) {
+                inheritRun(dispatcher, id, task, run, now);
+            }
+            inherited.runs->clear();
+        }
+    }
+}
+
 /// Opens links, and so grants leases, only to hosts in the stored roster, where a later holder
 /// finds them.
 void FleetHolder::Impl::openLinks()
 {
     const TimePoint now = bootClockNow();
     for (const auto &[id, endpoint] : roster.durableHosts()) {
-        if (links.contains(id) || (recoveryFinished && !isListed(id))) {
+        const auto inherited = inheritedHosts.find(id);
+        if (links.contains(id) || (inherited == inheritedHosts.end() && !isListed(id))) {
             continue;
         }
         dispatcher.fleet.hosts[id].id = id;
@@ -425,31 +605,28 @@
         link.id = id;
         link.endpoint = endpoint;
         link.tokenCounter = minTokenCounter;
-        link.leaseEnd =
-            options.epoch > 1 ? options.previousStoppedAt + maxLeaseDuration(options.lease) : now;
+        link.leaseEnd = inherited == inheritedHosts.end() ? now : inherited->second.leaseEnd;
         sendRenewal(link, milliseconds(0), now);
     }
 }
 
 void FleetHolder::Impl::tryFinishRecovery(TimePoint now)
 {
-    if (recoveryFinished || !loaded || !roster.isRead()) {
+    if (recoveryFinished || !runsInherited) {
         return;
     }
     // A host may be left out without a report only if it does not answer and its lease has expired.
     // A host that answers keeps its lease, and the ended runs that it lists have to be processed
     // before their tasks may start again.
-    const auto &inherited = roster.inheritedHosts();
-    const bool allHostsKnown =
-        std::all_of(inherited.begin(), inherited.end(), [this, now](const auto &entry) {
-            const FleetHost *const host = findHost(dispatcher.fleet, entry.first);
+    const auto awaited =
+        std::find_if(inheritedHosts.begin(), inheritedHosts.end(), [this, now](const auto &entry) {
             const auto link = links.find(entry.first);
-            return link == links.end() || (host != nullptr && host->reported)
-                   || (link->second.failures > 0 && now >= link->second.leaseEnd);
+            return isUnknown(entry.first) && link != links.end()
+                   && (link->second.failures == 0 || now < link->second.leaseEnd);
         });
     // While this holder may not act, other daemons store cancellations instead of sending them, so
     // the wait for the latest changes starts again.
-    if (!allHostsKnown || !env.mayAct()) {
+    if (awaited != inheritedHosts.end() || !env.mayAct()) {
         allHostsKnownAt.reset();
     } else if (!allHostsKnownAt) {
         allHostsKnownAt = now;
@@ -459,6 +636,13 @@
     }
     recoveryFinished = true;
     endRecovery(dispatcher);
+    if (options.epoch > 1) {
+        logEvent(
+            EventId::RecoveryFinished,
+            {{"epoch", std::to_string(options.epoch)},
+             {"waited_ms",
+              std::to_string(std::chrono::duration_cast<milliseconds>(now - startedAt).count())}});
+    }
     schedulePlan();
 }
 
@@ -502,7 +686,7 @@
     }
     // The lease of a host that does not answer is not extended; otherwise its runs could never be
     // declared lost.
-    if (link.failures == 0) {
+    if (link.failures == 0 && roster.mayExtendLease(link.id)) {
         renewal.leaseUntil = internal::leaseUntil(link, options.lease, now);
     }
     if (renewal.leaseUntil) {
@@ -538,10 +722,14 @@
         onRenewalFailed(link, *host, report.error(), now);
         return;
     }
-    if (!std::exchange(host->reachable, true) && link.failures > 0) {
+    const bool wasUnreachable = std::exchange(link.failures, 0) > 0;
+    const bool mayExtendLease = roster.mayExtendLease(id);
+    if (!host->reachable && wasUnreachable) {
         logEvent(EventId::HostReachable, {{"host", id.value}});
     }
-    const bool wasUnreachable = std::exchange(link.failures, 0) > 0;
+    // Nothing starts on the host before its lease may be extended.
+    host->reachable = mayExtendLease;
+    leaseRecordOld = leaseRecordOld || !mayExtendLease;
     if (report->bootedAt && host->bootedAt && *report->bootedAt != *host->bootedAt) {
         onHostRestarted(link, *host);
     }
@@ -556,6 +744,13 @@
         link.hasUnansweredOrder = link.hasUnansweredOrder && !(hasNewestToken && report->complete);
         noteCompleteness(link, *report);
     }
+    if (!mayExtendLease) {
+        // The next renewal follows the write that removes the host from the lease record.
+        link.nextRenewalAt = now + options.renewalRetryDelay;
+        writeRoster();
+        scheduleFollowUps();
+        return;
+    }
     if (leaseNotGranted || !loaded) {
         if (leaseNotGranted) {
             sendRenewal(link, milliseconds(0), now);
@@ -595,6 +790,7 @@
         return;
     }
     ++link.failures;
+    leaseRecordOld = leaseRecordOld || link.failures == failuresBeforeRecord;
     if (error.code == ResultCode::HostReplaced && now < link.leaseEnd) {
         // Nothing runs on a host that is gone, so that its lease need not be waited for. Its runs
         // are declared lost in the next tick.
@@ -804,7 +1000,7 @@
             if (host == nullptr) {
                 continue;
             }
-            if (!host->reachable && now >= link.leaseEnd && loaded) {
+            if (!host->reachable && link.failures > 0 && now >= link.leaseEnd && runsInherited) {
                 declareRunsLost(dispatcher, id,
                                 "the host does not answer and its lease has expired", now);
             }
@@ -812,6 +1008,9 @@
                 sendRenewal(link, milliseconds(0), now);
             }
         }
+        if (leaseRecordOld) {
+            writeRoster();
+        }
         cleanUp(now);
         scheduleFollowUps();
     }
@@ -1046,7 +1245,7 @@
 void FleetHolder::start()
 {
     m_impl->self = weak_from_this();
-    m_impl->roster.read(m_impl->guarded([impl = m_impl.get()] { impl->openLinks(); }));
+    m_impl->roster.read(m_impl->guarded([impl = m_impl.get()] { impl->onRosterRead(); }));
     m_impl->readState();
     m_impl->listHosts();
     m_impl->tick();
@@ -1070,7 +1269,9 @@
 void FleetHolder::finish(std::function<void()> done)
 {
     m_impl->finishing = true;
-    m_impl->writer.finish(std::move(done));
+    m_impl->writer.finish([impl = m_impl.get(), done = std::move(done)]() mutable {
+        impl->writeLastLeases(std::move(done));
+    });
 }
 
 AdmissionDecision FleetHolder::offer(const JobSpec &job)
--- a/packages/fleet/internal/roster.cpp
+++ b/packages/fleet/internal/roster.cpp
@@ -1,8 +1,11 @@
 #include "fleet/internal/roster.h"
 
+#include "fleet/jobrows.h"
 #include "logging/log.h"
+#include "runtime/bootclock.h"
 #include "runtime/eventloop.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,7 +16,12 @@
 
 constexpr const char *rosterTable = "roster";
 constexpr const char *rosterKey = "roster/main";
+constexpr const char *leasesKeyPrefix = "roster/leases.";
 constexpr Duration readRetryDelay = milliseconds(200);
+/// Time after which the remaining times of a stored lease record are written again.
+constexpr Duration leasesRefreshPeriod = std::chrono::seconds(1);
+/// The last write is repeated once if an earlier one took effect whose answer was lost.
+constexpr int lastWriteAttempts = 2;
 
 std::string encode(const std::map<HostId, Endpoint> &hosts)
 {
@@ -65,18 +73,44 @@
                 });
                 return;
             }
-            for (const Row &row : snapshot->rows) {
-                if (row.key == rosterKey) {
-                    m_inherited.merge(decode(row.value));
-                    m_version = row.version;
-                }
-            }
-            m_durable = m_inherited;
+            onRows(snapshot->rows);
             m_read = true;
             done();
         });
 }
 
+void Roster::onRows(const std::vector<Row> &rows)
+{
+    std::vector<std::string> leases;
+    for (const Row &row : rows) {
+        if (row.key == rosterKey) {
+            m_inherited.merge(decode(row.value));
+            m_version = row.version;
+        } else if (row.key.starts_with(leasesKeyPrefix)) {
+            leases.push_back(row.value);
+        }
+    }
+    m_durable = m_inherited;
+    m_leaseRows = leases.size();
+    Result<LeaseRecord> record = decodeLeases(leases);
+    if (!record) {
+        logEvent(EventId::RowIgnored,
+                 {{"row", leasesKeyPrefix}, {"reason", record.error().message}});
+        record = LeaseRecord();
+    }
+    // Writes that were sent before have a condition that does not hold any more.
+    m_unextended.clear();
+    for (const auto &[id, lease] : record->hosts) {
+        if (m_read) {
+            m_unextended.insert(id);
+        }
+    }
+    if (!m_read) {
+        m_inheritedLeases = *record;
+    }
+    m_storedLeases = std::move(*record);
+}
+
 void Roster::stop()
 {
     m_stopped = true;
@@ -87,6 +121,11 @@
     return m_read;
 }
 
+bool Roster::isWriting() const
+{
+    return m_writing;
+}
+
 const std::map<HostId, Endpoint> &Roster::inheritedHosts() const
 {
     return m_inherited;
@@ -97,25 +136,117 @@
     return m_durable;
 }
 
-void Roster::write(const std::map<HostId, Endpoint> &hosts, std::function<void()> done)
+const LeaseRecord &Roster::inheritedLeases() const
+{
+    return m_inheritedLeases;
+}
+
+bool Roster::mayExtendLease(const HostId &host) const
+{
+    return !m_unextended.contains(host);
+}
+
+bool Roster::isStored(const LeaseRecord &leases) const
+{
+    const auto &stored = m_storedLeases.hosts;
+    const bool sameHosts =
+        leases.epoch == m_storedLeases.epoch
+        && std::equal(stored.begin(), stored.end(), leases.hosts.begin(), leases.hosts.end(),
+                      [](const auto &a, const auto &b) {
+                          return a.first == b.first && a.second.runs == b.second.runs;
+                      });
+    const bool anyRuns =
+        std::any_of(leases.hosts.begin(), leases.hosts.end(),
+                    [](const auto &entry) { return entry.second.remaining > milliseconds(0); });
+    return sameHosts && !(anyRuns && bootClockNow() - m_leasesMadeAt >= leasesRefreshPeriod);
+}
+
+void Roster::commit(const std::map<HostId, Endpoint> &hosts, const LeaseRecord &leases,
+                    std::function<void(const Result<CommitVersions> &)> done)
+{
+    m_writing = true;
+    const std::string value = encode(hosts);
+    const std::vector<std::string> rows = encodeLeases(leases, maxBytesPerWrite - value.size());
+    Transaction transaction{.checks = {{rosterKey, m_version}}, .puts = {{rosterKey, value}}};
+    for (std::size_t n = 0; n < rows.size(); ++n) {
+        transaction.puts.push_back({leasesKeyPrefix + std::to_string(n), rows[n]});
+    }
+    for (std::size_t n = rows.size(); n < m_leaseRows; ++n) {
+        transaction.deletes.push_back(leasesKeyPrefix + std::to_string(n));
+    }
+    for (const auto &[id, lease] : leases.hosts) {
+        m_unextended.insert(id);
+    }
+    m_platform.commit(std::move(transaction),
+                      [this, hosts, leases, rowCount = rows.size(), madeAt = bootClockNow(),
+                       done = std::move(done)](const Result<CommitVersions> &result) {
+                          m_writing = false;
+                          if (result) {
+                              m_durable = hosts;
+                              m_version = result->at(rosterKey);
+                              m_storedLeases = leases;
+                              m_leasesMadeAt = madeAt;
+                              m_leaseRows = rowCount;
+                              m_unextended.clear();
+                              for (const auto &[id, lease] : leases.hosts) {
+                                  m_unextended.insert(id);
+                              }
+                          }
+                          done(result);
+                          if (!m_writing && m_afterWrite) {
+                              std::exchange(m_afterWrite, nullptr)();
+                          }
+                      });
+}
+
+void Roster::write(const std::map<HostId, Endpoint> &hosts, const LeaseRecord &leases,
+                   std::function<void()> done)
 {
-    if (m_writing || hosts == m_durable) {
+    if (m_writing || (hosts == m_durable && isStored(leases))) {
         return;
     }
-    m_writing = true;
-    Transaction transaction{.checks = {{rosterKey, m_version}},
-                            .puts = {{rosterKey, encode(hosts)}}};
-    m_platform.commit(std::move(transaction), [this, hosts, done = std::move(done)](
-                                                  const Result<CommitVersions> &result) mutable {
-        m_writing = false;
-        if (result) {
-            m_durable = hosts;
-            m_version = result->at(rosterKey);
-            done();
-        } else if (result.error().code == ResultCode::CheckFailed) {
-            read(std::move(done));
-        }
-    });
+    commit(hosts, leases,
+           [this, done = std::move(done)](const Result<CommitVersions> &result) mutable {
+               if (result) {
+                   done();
+               } else if (result.error().code == ResultCode::CheckFailed) {
+                   read(std::move(done));
+               }
+           });
+}
+
+void Roster::writeLast(std::map<HostId, Endpoint> hosts, LeaseRecord leases,
+                       std::function<void()> done)
+{
+    if (m_writing) {
+        m_afterWrite = [this, hosts = std::move(hosts), leases = std::move(leases),
+                        done = std::move(done)]() mutable {
+            commitLast(hosts, leases, lastWriteAttempts, std::move(done));
+        };
+        return;
+    }
+    commitLast(hosts, leases, lastWriteAttempts, std::move(done));
+}
+
+void Roster::commitLast(const std::map<HostId, Endpoint> &hosts, const LeaseRecord &leases,
+                        int attempts, std::function<void()> done)
+{
+    commit(hosts, leases,
+           [this, hosts, leases, attempts,
+            done = std::move(done)](const Result<CommitVersions> &result) mutable {
+               if (result || result.error().code != ResultCode::CheckFailed || attempts <= 1) {
+                   if (!result) {
+                       logEvent(EventId::WriteOutcomeUnknown,
+                                {{"what", "leases for the next holder"},
+                                 {"reason", result.error().message}});
+                   }
+                   done();
+                   return;
+               }
+               read([this, hosts, leases, attempts, done = std::move(done)]() mutable {
+                   commitLast(hosts, leases, attempts - 1, std::move(done));
+               });
+           });
 }
 
 } // namespace acaciadeal::internal
