Restart the tasks of a recorded host on time after a loss of power

Cause: the lease record says where the task last ran, but the next holder still let it wait for all hosts with unknown runs, and did not know when the record had been made.

Change: a task whose run a holder adopted or took from the record is accounted for, so that only its own host is waited for. The record contains the time since the last confirmed heartbeat; the next holder, which has seen that heartbeat or a later one, counts the leases from there.

Evidence: three cases of fleet_test (counts from the record, waits for its lease only, starts elsewhere only once the record without it is stored) and two of waitreason_test. The cases were written with the change; that they fail without it was not run.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -307,6 +307,7 @@
     task.phaseSince = now;
     task.progressedAt = now;
     task.pace = unknownPace;
+    task.accountedFor = true;
     addRun(host, job, key, run);
     addEvent(dispatcher, {.kind = DispatchEvent::Kind::RunAdopted,
                           .job = key.job,
@@ -506,8 +507,9 @@
     std::optional<PlacementPermits> failed;
     for (std::uint32_t n = 0; n < step.tasks.size() && step.waiting > 0; ++n) {
         TaskRuntime &task = step.tasks[n];
+        const TaskKey key{.job = job.spec.id, .step = ready.step, .index = n};
         const PlacementPermits permits = permitsOf(dispatcher.fleet, job, ready.step, task, now);
-        if ((failed && covers(*failed, permits))
+        if ((failed && covers(*failed, permits)) || isHeldBack(dispatcher.fleet, job, key, task)
             || !mayStart(dispatcher, job, spec, task, rule, roomCache, now)) {
             continue;
         }
@@ -516,7 +518,7 @@
                                     ? nullptr
                                     : chooseHost(dispatcher.fleet, job, ready.step, task, now);
         if (host != nullptr) {
-            startTask(dispatcher, job, {job.spec.id, 0, ready.step, n}, task, *host, orders, now);
+            startTask(dispatcher, job, key, task, *host, orders, now);
             continue;
         }
         cacheNoRoom(roomCache, request);
--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -57,6 +57,12 @@
     return it == fleet.hosts.end() ? nullptr : &it->second;
 }
 
+bool isHeldBack(const FleetState &fleet, const JobRuntime &job, const TaskKey &key,
+                const TaskRuntime &task)
+{
+    return (job.inRecovery && !task.accountedFor) || fleet.recordedTasks.contains(key);
+}
+
 JobState stateOf(const JobRuntime &job)
 {
     if (isTerminal(job.progress.outcome)) {
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -61,6 +61,9 @@
     int pace = 100;
     /// Whether the speed of this run was ever changed by an order.
     bool wasPaced = false;
+    /// Whether this holder knows the task's last run, so that the task cannot be running on a host
+    /// that has not reported.
+    bool accountedFor = false;
     /// Whether this holder started the run, and without a checkpoint: it was neither resumed nor
     /// adopted.
     bool startedFromScratch = false;
@@ -219,6 +222,9 @@
     /// Tasks of live jobs whose runs are being stopped, either to start on another host or because
     /// the task is done.
     std::set<TaskKey> relocatingTasks;
+    /// Tasks whose runs the stored lease record lists. A later holder takes it that they run
+    /// nowhere else, so they do not start before the record has been replaced.
+    std::set<TaskKey> recordedTasks;
     /// Jobs whose progress differs from the stored row.
     std::set<JobId> dirty;
     /// The runs that this holder starts get numbers above this one.
@@ -234,6 +240,11 @@
 const JobRuntime *findJob(const FleetState &fleet, const JobId &job);
 FleetHost *findHost(FleetState &fleet, const HostId &host);
 
+/// Returns whether the task has to wait although it has no run: it may be running on a host that
+/// has not reported, or the stored lease record lists a run of it.
+bool isHeldBack(const FleetState &fleet, const JobRuntime &job, const TaskKey &key,
+                const TaskRuntime &task);
+
 /// Returns the job's state as reported to callers. A job counts as running from its first start
 /// order on, whether a task of it has begun or not; it stays pending until a start is confirmed.
 JobState stateOf(const JobRuntime &job);
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -70,18 +70,24 @@
     }
 };
 
+/// Returns whether a task of the step may start before the recovery has finished.
+bool hasAccountedTask(const StepRuntime &step)
+{
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskRuntime &task) {
+        return task.phase == TaskPhase::Waiting && task.accountedFor;
+    });
+}
+
 } // namespace
 
 std::vector<ReadyStep> readySteps(FleetState &fleet, TimePoint now)
 {
     std::vector<RankedStep> ranked;
     for (JobRuntime *const job : fleet.liveJobs) {
-        if (job->inRecovery) {
-            continue;
-        }
         for (std::uint32_t n = 0; n < job->steps.size(); ++n) {
             const StepRuntime &step = job->steps[n];
-            if (!step.dependenciesDone || step.waiting == 0) {
+            if (!step.dependenciesDone || step.waiting == 0
+                || (job->inRecovery && !hasAccountedTask(step))) {
                 continue;
             }
             const bool longRunning = job->spec.steps[n].longRunning;
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -34,6 +34,8 @@
     switch (rule) {
     case WaitRule::HolderIsNew:
         return "holder_is_new";
+    case WaitRule::LeaseRecord:
+        return "lease_record";
     case WaitRule::EarlierStep:
         return "earlier_step";
     case WaitRule::OldHostList:
@@ -65,6 +67,8 @@
     switch (rule) {
     case WaitRule::HolderIsNew:
         return "the holder is new, and a host that may be running the task has not reported yet";
+    case WaitRule::LeaseRecord:
+        return "the stored lease record still lists the task's last run";
     case WaitRule::EarlierStep:
         return "an earlier step is not done";
     case WaitRule::OldHostList:
@@ -99,6 +103,8 @@
     const FleetState &fleet = dispatcher.fleet;
     const StepSpec &spec = job.spec.steps[step];
     WaitReason reason{.waited = now - task.phaseSince};
+    const auto index = static_cast<std::uint32_t>(&task - job.steps[step].tasks.data());
+    const TaskKey key{.job = job.spec.id, .step = step, .index = index};
     const PlacementPermits permits = permitsOf(fleet, job, step, task, now);
     RejectionCounts hosts{};
     for (const auto &[id, host] : fleet.hosts) {
@@ -115,8 +121,10 @@
     }
     reason.suitableHosts = hosts[static_cast<std::size_t>(HostRejection::None)];
     reason.avoidedHosts = hosts[static_cast<std::size_t>(HostRejection::Avoided)];
-    if (job.inRecovery) {
+    if (job.inRecovery && !task.accountedFor) {
         reason.rule = WaitRule::HolderIsNew;
+    } else if (isHeldBack(fleet, job, key, task)) {
+        reason.rule = WaitRule::LeaseRecord;
     } else if (!job.steps[step].dependenciesDone) {
         reason.rule = WaitRule::EarlierStep;
     } else if (isHostListOld(dispatcher, now)) {
--- a/packages/dispatch/waitreason.h
+++ b/packages/dispatch/waitreason.h
@@ -12,6 +12,8 @@
 enum class WaitRule : std::uint8_t {
     /// The task may be running on a host that has not reported to the new holder yet.
     HolderIsNew,
+    /// The stored lease record lists a run of the task, which would mislead a later holder.
+    LeaseRecord,
     /// A step that it depends on is not done.
     EarlierStep,
     /// The host list is too old to start tasks.
--- a/packages/dispatch/waitreason_test.cpp
+++ b/packages/dispatch/waitreason_test.cpp
@@ -74,6 +74,17 @@
         fleet.job().inRecovery = true;
         CHECK(fleet.explain(at(100)).rule == WaitRule::HolderIsNew);
     }
+    SUBCASE("the holder is new, and knows that the task's last run is over")
+    {
+        fleet.job().inRecovery = true;
+        fleet.job().steps[0].tasks[0].accountedFor = true;
+        CHECK(fleet.explain(at(100)).rule == WaitRule::NextRound);
+    }
+    SUBCASE("the stored lease record lists the task's last run")
+    {
+        fleet.dispatcher.fleet.recordedTasks.insert({.job = fleet.job().spec.id});
+        CHECK(fleet.explain(at(100)).rule == WaitRule::LeaseRecord);
+    }
     SUBCASE("an earlier step is not done")
     {
         fleet.job().steps[0].dependenciesDone = false;
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -100,6 +100,9 @@
     Duration catchUpTimeout = testTimeout;
     /// Job whose rows are removed after the next read of the job or progress table.
     JobId removedBetweenReads;
+    /// When the last heartbeat of a holder was sent, and read by the next one; unset if that is not
+    /// known.
+    std::optional<TimePoint> heartbeatSeenAt;
     Duration renewalRetryDelay = milliseconds(20);
     Duration endedJobRetention = std::chrono::seconds(150);
 
@@ -238,12 +241,19 @@
                                        .hosts = hosts.client(),
                                        .metrics = metrics,
                                        .mayAct = [this, epoch] { return mayAct[epoch]; },
+                                       .sinceHeartbeat =
+                                           [this] {
+                                               return heartbeatSeenAt
+                                                          ? bootClockNow() - *heartbeatSeenAt
+                                                          : Duration(0);
+                                           },
                                        .onFenced =
                                            [this, epoch](const std::string &) {
                                                mayAct[epoch] = false;
                                            }},
                 FleetHolderOptions{.epoch = static_cast<std::uint64_t>(epoch),
-                                   .previousStoppedAt = bootClockNow() - stoppedAgo,
+                                   .previous = {.stoppedAt = bootClockNow() - stoppedAgo,
+                                                .heartbeatSeenAt = heartbeatSeenAt},
                                    .lease = hostLease,
                                    .renewalWait = milliseconds(50),
                                    .hostTimeout = milliseconds(40),
@@ -1006,14 +1016,15 @@
                                  .claimTimeout = milliseconds(300),
                                  .pollEvery = milliseconds(20),
                                  .retryDelay = milliseconds(20)},
-                OwnershipCallbacks{.onHeld =
-                                       [this, n](std::uint64_t epoch, TimePoint stoppedAt) {
-                                           epochs[n] = epoch;
-                                           previousStoppedAt[n] = stoppedAt;
-                                       },
-                                   .onLost =
-                                       [](const std::string &) {
-                                       }}));
+                OwnershipCallbacks{
+                    .onHeld =
+                        [this, n](std::uint64_t epoch, const PreviousHolder &previous) {
+                            epochs[n] = epoch;
+                            previousStoppedAt[n] = previous.stoppedAt;
+                        },
+                    .onLost =
+                        [](const std::string &) {
+                        }}));
         }
     }
 
@@ -1720,6 +1731,69 @@
     CHECK(cluster.activeRunsUntilStartedElsewhere(host) == 1);
 }
 
+// Guards against a remaining lease that is counted from the claim, seconds after a loss of power,
+// instead of from the record.
+TEST_CASE("after a loss of power the lease of a host known to be silent counts from the record")
+{
+    Cluster cluster(2);
+    cluster.hostLease = milliseconds(2000);
+    cluster.heartbeatSeenAt = bootClockNow();
+    cluster.startHolder(1);
+    const std::string gone = cluster.runOneTask();
+    const TimePoint goneAt = bootClockNow();
+    cluster.silenceHost(gone, true);
+    REQUIRE(cluster.waitUntilRecorded(gone, true));
+    std::this_thread::sleep_until(goneAt + milliseconds(1200));
+    cluster.stopHolderAtOnce(1);
+    std::this_thread::sleep_until(goneAt + milliseconds(2200));
+    cluster.startHolder(2);
+    REQUIRE(cluster.waitUntilRunning("j"));
+    CHECK(bootClockNow() - goneAt < milliseconds(2900));
+}
+
+// Guards against a host that nobody knows to be silent and that holds up tasks of which the record
+// says where they ran.
+TEST_CASE("the task of a recorded host waits for its lease only, whatever other hosts do")
+{
+    Cluster cluster(3);
+    cluster.hostLease = milliseconds(2000);
+    cluster.startHolder(1);
+    const std::string gone = cluster.runOneTask();
+    JobSpec other = oneTaskJob("other");
+    other.steps[0].taskSize.milliCores = 4000;
+    cluster.submit(other);
+    REQUIRE(cluster.waitUntilRunning("other"));
+    const std::string silent = cluster.hostOf("other");
+    REQUIRE(silent != gone);
+    const TimePoint goneAt = bootClockNow();
+    cluster.silenceHost(gone, true);
+    REQUIRE(cluster.waitUntilRecorded(gone, true));
+    std::this_thread::sleep_until(goneAt + milliseconds(1500));
+    cluster.stopHolderAtOnce(1);
+    cluster.silenceHost(silent, false);
+    cluster.startHolder(2);
+    REQUIRE(cluster.waitUntilRunning("j"));
+    CHECK(bootClockNow() - goneAt < milliseconds(3200));
+    CHECK(cluster.startCount("other") == 1);
+}
+
+// Guards against a second run: the task of a recorded host runs elsewhere, the holder loses power,
+// and the next one concludes from the record that the task runs nowhere.
+TEST_CASE("a recorded task starts elsewhere only once the record without it is stored")
+{
+    Cluster cluster(2);
+    cluster.startHolder(1);
+    const std::string gone = cluster.runOneTask();
+    cluster.silenceHost(gone, true);
+    REQUIRE(cluster.waitUntilRecorded(gone, true));
+    cluster.runOnLoop([&] { cluster.losesRosterWrites = true; });
+    std::this_thread::sleep_for(3 * lease);
+    CHECK(cluster.startCount("j") == 1);
+    cluster.runOnLoop([&] { cluster.losesRosterWrites = false; });
+    REQUIRE(cluster.waitUntilRunning("j"));
+    CHECK(cluster.startCount("j") == 2);
+}
+
 // Guards against a task that runs again although it is done: the holder stops while the progress of
 // the job is not durable, and the next one takes the task for not started.
 TEST_CASE("a holder hands over no runs while progress is not durable")
--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -96,7 +96,7 @@
 
     Result<void> createComponents();
     Result<void> openSockets();
-    void onShardClaimed(std::uint64_t epoch, TimePoint previousStoppedAt);
+    void onShardClaimed(std::uint64_t epoch, const PreviousHolder &previous);
     void stopHolder();
     void onOperatorViewChanged();
     Result<std::map<std::string, std::size_t>> pendingJobs() const;
@@ -144,14 +144,13 @@
                          .incarnation = newIncarnation(),
                          .peer = settings.peerListen,
                          .claimDelay = claimDelay(*settings.fleet)},
-        OwnershipCallbacks{.onHeld =
-                               [this](std::uint64_t epoch, TimePoint previousStoppedAt) {
-                                   onShardClaimed(epoch, previousStoppedAt);
-                               },
-                           .onLost =
-                               [this](const std::string &) {
-                                   stopHolder();
-                               }});
+        OwnershipCallbacks{
+            .onHeld = [this](std::uint64_t epoch,
+                             const PreviousHolder &previous) { onShardClaimed(epoch, previous); },
+            .onLost =
+                [this](const std::string &) {
+                    stopHolder();
+                }});
     operatorWatch = std::make_unique<OperatorWatch>(loop, platform, adapter.operatorTableSchema(),
                                                     OperatorWatchOptions{},
                                                     [this] { onOperatorViewChanged(); });
@@ -168,21 +167,23 @@
     return {};
 }
 
-void FleetDaemon::Impl::onShardClaimed(std::uint64_t epoch, TimePoint previousStoppedAt)
+void FleetDaemon::Impl::onShardClaimed(std::uint64_t epoch, const PreviousHolder &previous)
 {
     stopHolder();
     holder = std::make_shared<FleetHolder>(
-        FleetHolderEnvironment{.loop = loop,
-                               .platform = platform,
-                               .hosts = adapter.createHostClient(loop),
-                               .metrics = metrics,
-                               .mayAct = [this] { return ownership->mayAct(); },
-                               .onFenced =
-                                   [this](const std::string &reason) {
-                                       ownership->stepDown(reason);
-                                   }},
+        FleetHolderEnvironment{
+            .loop = loop,
+            .platform = platform,
+            .hosts = adapter.createHostClient(loop),
+            .metrics = metrics,
+            .mayAct = [this] { return ownership->mayAct(); },
+            .sinceHeartbeat = [this] { return bootClockNow() - ownership->confirmedAt(); },
+            .onFenced =
+                [this](const std::string &reason) {
+                    ownership->stepDown(reason);
+                }},
         FleetHolderOptions{.epoch = epoch,
-                           .previousStoppedAt = previousStoppedAt,
+                           .previous = previous,
                            .lease =
                                std::min(maxHostLease, settings.fleet->maxLease - leaseMargin)});
     if (operatorWatch->view() != nullptr) {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -137,6 +137,7 @@
     internal::LeaseRecord leaseRecord(bool stopped, TimePoint now) const;
     std::map<HostId, Endpoint> rosterHosts() const;
     void writeRoster();
+    bool hasWaitingRecordedTask() const;
     void writeLastLeases(std::function<void()> done);
     void tryFinishRecovery(TimePoint now);
     bool ensureJobChangesRead(TimePoint moment, TimePoint now);
@@ -407,6 +408,7 @@
     }
     leaseRecordOld = false;
     roster.write(rosterHosts(), leaseRecord(false, bootClockNow()), guarded([this] {
+                     dispatcher.fleet.recordedTasks = roster.recordedTasks();
                      openLinks();
                      const TimePoint now = bootClockNow();
                      for (auto &[id, link] : links) {
@@ -417,7 +419,19 @@
                              sendRenewal(link, milliseconds(0), now);
                          }
                      }
+                     schedulePlan();
                  }));
+    dispatcher.fleet.recordedTasks = roster.recordedTasks();
+}
+
+/// Returns whether a task in the lease record has no run any more and waits for another record.
+bool FleetHolder::Impl::hasWaitingRecordedTask() const
+{
+    const auto &tasks = dispatcher.fleet.recordedTasks;
+    return std::any_of(tasks.begin(), tasks.end(), [this](const TaskKey &key) {
+        const TaskRuntime *const task = findTask(dispatcher.fleet, key);
+        return task != nullptr && task->phase == TaskPhase::Waiting;
+    });
 }
 
 std::map<HostId, Endpoint> FleetHolder::Impl::rosterHosts() const
@@ -444,7 +458,10 @@
 /// holder does not extend.
 internal::LeaseRecord FleetHolder::Impl::leaseRecord(bool stopped, TimePoint now) const
 {
-    internal::LeaseRecord record{.epoch = options.epoch, .stopped = stopped};
+    internal::LeaseRecord record{.epoch = options.epoch,
+                                 .stopped = stopped,
+                                 .sinceHeartbeat =
+                                     std::chrono::ceil<milliseconds>(env.sinceHeartbeat())};
     if (!runsInherited) {
         return record;
     }
@@ -543,21 +560,24 @@
     const TimePoint now = bootClockNow();
     const internal::LeaseRecord &record = roster.inheritedLeases();
     const bool usable = record.epoch + 1 == options.epoch;
+    const TimePoint stoppedAt = options.previous.stoppedAt;
+    const TimePoint recordMadeBy =
+        std::min(stoppedAt, options.previous.heartbeatSeenAt.value_or(stoppedAt)
+                                + remainingHere(record.sinceHeartbeat));
     std::size_t unknown = 0;
     for (const auto &[id, endpoint] : roster.inheritedHosts()) {
-        Duration remaining = maxLeaseDuration(options.lease);
+        TimePoint leaseEnd = stoppedAt + maxLeaseDuration(options.lease);
         std::optional<internal::HostRuns> runs;
         const auto lease = record.hosts.find(id);
         if (usable && lease != record.hosts.end()) {
-            remaining = std::min(remaining, remainingHere(lease->second.remaining));
+            leaseEnd = std::min(leaseEnd, recordMadeBy + remainingHere(lease->second.remaining));
             runs = lease->second.runs;
         } else if (usable && record.stopped) {
-            remaining = Duration(0);
+            leaseEnd = now;
             runs.emplace();
         }
         unknown += runs ? 0 : 1;
-        inheritedHosts[id] = {.leaseEnd = options.previousStoppedAt + remaining,
-                              .runs = std::move(runs)};
+        inheritedHosts[id] = {.leaseEnd = leaseEnd, .runs = std::move(runs)};
     }
     if (options.epoch > 1) {
         logEvent(EventId::LeasesInherited,
@@ -1008,7 +1028,7 @@
                 sendRenewal(link, milliseconds(0), now);
             }
         }
-        if (leaseRecordOld) {
+        if (leaseRecordOld || hasWaitingRecordedTask()) {
             writeRoster();
         }
         cleanUp(now);
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -4,6 +4,7 @@
 #include "dispatch/admission.h"
 #include "dispatch/dispatcher.h"
 #include "fleet/hostclient.h"
+#include "fleet/ownership.h"
 #include "metrics/metrics.h"
 #include "store/platform.h"
 
@@ -21,9 +22,8 @@
 struct FleetHolderOptions
 {
     std::uint64_t epoch = 0;
-    /// Time at which the previous holder had certainly stopped. The leases that it granted expire
-    /// relative to this time.
-    TimePoint previousStoppedAt;
+    /// The leases that the previous holder granted expire relative to these times.
+    PreviousHolder previous;
     /// Duration of the lease that each renewal grants; longer than a takeover takes. It has to be
     /// the same for all holders, because a new holder waits for the leases of its predecessor.
     milliseconds lease{5900};
@@ -84,6 +84,8 @@
     Metrics &metrics;
     /// Returns whether this daemon holds the shard now; otherwise no orders are sent.
     std::function<bool()> mayAct;
+    /// Returns the time since the last confirmed heartbeat was sent.
+    std::function<Duration()> sinceHeartbeat;
     /// Called when a host refuses a call because it has seen the token of a newer holder.
     std::function<void(const std::string &reason)> onFenced;
 };
--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -78,8 +78,10 @@
     }
     std::vector<std::string> rows;
     for (const std::string &hosts : lists) {
-        const json fields{
-            {"epoch", record.epoch}, {"stopped", record.stopped}, {"rows", lists.size()}};
+        const json fields{{"epoch", record.epoch},
+                          {"stopped", record.stopped},
+                          {"since_heartbeat_ms", record.sinceHeartbeat.count()},
+                          {"rows", lists.size()}};
         std::string row = fields.dump();
         row.pop_back();
         rows.push_back(row + ",\"hosts\":{" + hosts + "}}");
@@ -95,6 +97,7 @@
             const json row = json::parse(text);
             record.epoch = row.at("epoch").get<std::uint64_t>();
             record.stopped = row.at("stopped").get<bool>();
+            record.sinceHeartbeat = milliseconds(row.at("since_heartbeat_ms").get<std::int64_t>());
             if (row.at("rows").get<std::size_t>() != rows.size()) {
                 return failure(ResultCode::CorruptSnapshot, "a row is missing", "lease record");
             }
--- a/packages/fleet/internal/leaserecord.h
+++ b/packages/fleet/internal/leaserecord.h
@@ -36,6 +36,10 @@
     /// only the hosts are listed whose leases the holder does not extend.
     bool stopped = false;
     std::map<HostId, HostLease> hosts;
+    /// Time between the sending of the holder's last confirmed heartbeat and the making of this
+    /// record. A daemon that has seen that heartbeat, or a later one, knows when the record was
+    /// made at the latest.
+    milliseconds sinceHeartbeat{0};
 };
 
 /// Returns the values of the rows that contain @p record, each with at most maxJobRowBytes. Leaves
--- a/packages/fleet/internal/roster.cpp
+++ b/packages/fleet/internal/roster.cpp
@@ -98,14 +98,10 @@
                  {{"row", leasesKeyPrefix}, {"reason", record.error().message}});
         record = LeaseRecord();
     }
-    // Writes that were sent before have a condition that does not hold any more.
-    m_unextended.clear();
-    for (const auto &[id, lease] : record->hosts) {
-        if (m_read) {
-            m_unextended.insert(id);
-        }
-    }
-    if (!m_read) {
+    if (m_read) {
+        // Writes that were sent before have a condition that does not hold any more.
+        replaceRecorded(*record);
+    } else {
         m_inheritedLeases = *record;
     }
     m_storedLeases = std::move(*record);
@@ -146,6 +142,28 @@
     return !m_unextended.contains(host);
 }
 
+const std::set<TaskKey> &Roster::recordedTasks() const
+{
+    return m_recordedTasks;
+}
+
+void Roster::addRecorded(const LeaseRecord &leases)
+{
+    for (const auto &[id, lease] : leases.hosts) {
+        m_unextended.insert(id);
+        for (const auto &[task, run] : lease.runs.value_or(HostRuns())) {
+            m_recordedTasks.insert(task);
+        }
+    }
+}
+
+void Roster::replaceRecorded(const LeaseRecord &leases)
+{
+    m_unextended.clear();
+    m_recordedTasks.clear();
+    addRecorded(leases);
+}
+
 bool Roster::isStored(const LeaseRecord &leases) const
 {
     const auto &stored = m_storedLeases.hosts;
@@ -174,9 +192,7 @@
     for (std::size_t n = rows.size(); n < m_leaseRows; ++n) {
         transaction.deletes.push_back(leasesKeyPrefix + std::to_string(n));
     }
-    for (const auto &[id, lease] : leases.hosts) {
-        m_unextended.insert(id);
-    }
+    addRecorded(leases);
     m_platform.commit(std::move(transaction),
                       [this, hosts, leases, rowCount = rows.size(), madeAt = bootClockNow(),
                        done = std::move(done)](const Result<CommitVersions> &result) {
@@ -187,10 +203,7 @@
                               m_storedLeases = leases;
                               m_leasesMadeAt = madeAt;
                               m_leaseRows = rowCount;
-                              m_unextended.clear();
-                              for (const auto &[id, lease] : leases.hosts) {
-                                  m_unextended.insert(id);
-                              }
+                              replaceRecorded(leases);
                           }
                           done(result);
                           if (!m_writing && m_afterWrite) {
--- a/packages/fleet/internal/roster.h
+++ b/packages/fleet/internal/roster.h
@@ -40,6 +40,8 @@
     /// Returns whether a lease of the host may be granted or extended: neither the stored lease
     /// record nor one whose write may still take effect says that this holder does not.
     bool mayExtendLease(const HostId &host) const;
+    /// Returns the tasks whose runs that record, or one whose write may still take effect, lists.
+    const std::set<TaskKey> &recordedTasks() const;
     /// Stops the retries of read().
     void stop();
     /// Stores @p hosts and @p leases and then calls @p done. Does nothing if they are stored
@@ -61,6 +63,8 @@
                     int attempts, std::function<void()> done);
     void onRows(const std::vector<Row> &rows);
     bool isStored(const LeaseRecord &leases) const;
+    void addRecorded(const LeaseRecord &leases);
+    void replaceRecorded(const LeaseRecord &leases);
 
     const PlatformAdapter &m_platform;
     EventLoop &m_loop;
@@ -73,6 +77,8 @@
     /// Hosts whose leases are not extended according to a record that was sent since the last
     /// successful write, or is stored.
     std::set<HostId> m_unextended;
+    /// Tasks with runs in those records.
+    std::set<TaskKey> m_recordedTasks;
     /// Number of rows of the stored lease record.
     std::size_t m_leaseRows = 0;
     bool m_read = false;
--- a/packages/fleet/ownership.cpp
+++ b/packages/fleet/ownership.cpp
@@ -58,6 +58,11 @@
     return m_held && !m_stopped && bootClockNow() - m_confirmedAt < m_options.leaseDuration;
 }
 
+TimePoint ShardOwnership::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
 const OwnerRecord &ShardOwnership::holder() const
 {
     return m_owner;
@@ -164,24 +169,27 @@
                                .incarnation = m_options.incarnation,
                                .peer = m_options.peer};
     // The holder may have acted and released the shard after the read was sent.
-    const TimePoint stoppedAt = m_owner.released ? bootClockNow() : readSentAt;
+    PreviousHolder previous{.stoppedAt = m_owner.released ? bootClockNow() : readSentAt};
+    if (m_heartbeatSeenAt != TimePoint()) {
+        previous.heartbeatSeenAt = m_heartbeatSeenAt;
+    }
     // The check of the heartbeat row makes a claim fail that the store executes late, after the
     // holder has written another heartbeat.
     Transaction transaction{
         .checks = {{ownerKey(), m_ownerVersion}, {heartbeatKey(), m_heartbeatVersion}},
         .puts = {{ownerKey(), encodeOwner(newOwner)},
                  {heartbeatKey(), std::to_string(newOwner.epoch)}}};
-    m_platform.commit(std::move(transaction), [this, newOwner, readSentAt,
-                                               stoppedAt](const Result<CommitVersions> &result) {
-        if (result) {
-            m_owner = newOwner;
-        }
-        onClaimed(result, readSentAt, stoppedAt);
-    });
+    m_platform.commit(std::move(transaction),
+                      [this, newOwner, readSentAt, previous](const Result<CommitVersions> &result) {
+                          if (result) {
+                              m_owner = newOwner;
+                          }
+                          onClaimed(result, readSentAt, previous);
+                      });
 }
 
 void ShardOwnership::onClaimed(const Result<CommitVersions> &result, TimePoint sentAt,
-                               TimePoint stoppedAt)
+                               const PreviousHolder &previous)
 {
     if (!result || m_stopped) {
         // If the write took effect nevertheless, the next read shows this daemon as the owner, and
@@ -195,7 +203,7 @@
     m_heartbeatVersion = result->at(heartbeatKey());
     logEvent(EventId::ShardClaimed,
              {{"shard", m_options.shard}, {"epoch", std::to_string(m_owner.epoch)}});
-    m_callbacks.onHeld(m_owner.epoch, stoppedAt);
+    m_callbacks.onHeld(m_owner.epoch, previous);
     scheduleNext(m_options.heartbeatEvery);
 }
 
--- a/packages/fleet/ownership.h
+++ b/packages/fleet/ownership.h
@@ -55,11 +55,20 @@
     Duration releaseRetryTime = milliseconds(1200);
 };
 
+/// What a daemon that claims the shard knows of the previous holder.
+struct PreviousHolder
+{
+    /// The previous holder had certainly stopped by then.
+    TimePoint stoppedAt;
+    /// When this daemon first read the last heartbeat; the heartbeat was sent before. Unset if it
+    /// read none.
+    std::optional<TimePoint> heartbeatSeenAt;
+};
+
 struct OwnershipCallbacks
 {
-    /// This daemon holds the shard from now on. The previous holder had stopped by
-    /// @p previousStoppedAt.
-    std::function<void(std::uint64_t epoch, TimePoint previousStoppedAt)> onHeld;
+    /// This daemon holds the shard from now on.
+    std::function<void(std::uint64_t epoch, const PreviousHolder &previous)> onHeld;
     /// This daemon no longer holds the shard; another daemon may hold it.
     std::function<void(const std::string &reason)> onLost;
 };
@@ -76,6 +85,9 @@
     /// Returns whether this daemon holds the shard and may act now: by this daemon's clock the
     /// lease has not expired, so no other daemon can have claimed the shard.
     bool mayAct() const;
+    /// Returns when the last confirmed heartbeat was sent, or, after a claim, the read that found
+    /// the shard free. Precondition: this daemon holds the shard.
+    TimePoint confirmedAt() const;
     /// Returns the holder as last read; epoch 0 if there is none.
     const OwnerRecord &holder() const;
     /// Stops acting, marks the shard as free to claim, and then calls @p done once. This object
@@ -90,7 +102,8 @@
     void onRows(const Result<RowSnapshot> &snapshot, TimePoint sentAt);
     void claimIfFree(TimePoint readSentAt);
     void claim(TimePoint readSentAt);
-    void onClaimed(const Result<CommitVersions> &result, TimePoint sentAt, TimePoint stoppedAt);
+    void onClaimed(const Result<CommitVersions> &result, TimePoint sentAt,
+                   const PreviousHolder &previous);
     void writeHeartbeat();
     void onHeartbeatWritten(const Result<CommitVersions> &result, TimePoint sentAt);
     void writeRelease(TimePoint until, std::function<void()> done);
