Do not write the roster while it is read again after a failed condition

Cause: if an earlier write took effect whose answer was lost, the next one fails its condition, and the row is read again. A write could be sent and succeed before the answer to that read, which then set the version and the recorded hosts back. The read also added hosts that a write had removed to the stored ones, so that a lease could be granted to a host that the stored roster does not contain.

Change: a write waits for that read, and the stored hosts are those in the row.

--- a/packages/fleet/internal/roster.cpp
+++ b/packages/fleet/internal/roster.cpp
@@ -82,15 +82,15 @@
 void Roster::onRows(const std::vector<Row> &rows)
 {
     std::vector<std::string> leases;
+    m_durable.clear();
     for (const Row &row : rows) {
         if (row.key == rosterKey) {
-            m_inherited.merge(decode(row.value));
+            m_durable = decode(row.value);
             m_version = row.version;
         } else if (row.key.starts_with(leasesKeyPrefix)) {
             leases.push_back(row.value);
         }
     }
-    m_durable = m_inherited;
     m_leaseRows = leases.size();
     Result<LeaseRecord> record = decodeLeases(leases);
     if (!record) {
@@ -102,6 +102,7 @@
         // Writes that were sent before have a condition that does not hold any more.
         replaceRecorded(*record);
     } else {
+        m_inherited = m_durable;
         m_inheritedLeases = *record;
     }
     m_storedLeases = std::move(*record);
@@ -112,6 +113,17 @@
     m_stopped = true;
 }
 
+/// Reads the row that an earlier write of unknown outcome has changed. Nothing is written
+/// meanwhile, because the answer would be older than that write.
+void Roster::readAgain(std::function<void()> done)
+{
+    m_writing = true;
+    read([this, done = std::move(done)] {
+        m_writing = false;
+        done();
+    });
+}
+
 bool Roster::isRead() const
 {
     return m_read;
@@ -223,7 +235,7 @@
                if (result) {
                    done();
                } else if (result.error().code == ResultCode::CheckFailed) {
-                   read(std::move(done));
+                   readAgain(std::move(done));
                }
            });
 }
@@ -256,7 +268,7 @@
                    done();
                    return;
                }
-               read([this, hosts, leases, attempts, done = std::move(done)]() mutable {
+               readAgain([this, hosts, leases, attempts, done = std::move(done)]() mutable {
                    commitLast(hosts, leases, attempts - 1, std::move(done));
                });
            });
--- a/packages/fleet/internal/roster.h
+++ b/packages/fleet/internal/roster.h
@@ -28,7 +28,7 @@
     /// Reads the roster that the previous holder stored, with retries, then calls @p done.
     void read(std::function<void()> done);
     bool isRead() const;
-    /// Returns whether a write has not been answered yet.
+    /// Returns whether a write, or the read after a failed one, has not been answered yet.
     bool isWriting() const;
     /// Returns the hosts of the previous holder. Precondition: isRead().
     const std::map<HostId, Endpoint> &inheritedHosts() const;
@@ -44,11 +44,10 @@
     const std::set<TaskKey> &recordedTasks() const;
     /// Stops the retries of read().
     void stop();
-    /// Stores @p hosts and @p leases and then calls @p done. Does nothing if they are stored
-    /// already, with remaining times that are not much too long, or if another write is in
-    /// progress;
-    /// @p done is not called then, nor if the write fails. If the row has changed meanwhile, reads
-    /// it again before it calls @p done. Precondition: isRead().
+    /// Stores @p hosts and @p leases and then calls @p done. If the row has changed meanwhile,
+    /// reads it again before it calls @p done. Does nothing if they are stored already, with
+    /// remaining times that are not much too long, or if another write is in progress; @p done is
+    /// not called then, nor if the write fails. Precondition: isRead().
     void write(const std::map<HostId, Endpoint> &hosts, const LeaseRecord &leases,
                std::function<void()> done);
     /// Stores what the holder leaves to its successor, once a write in progress has been answered,
@@ -61,6 +60,7 @@
                 std::function<void(const Result<CommitVersions> &)> done);
     void commitLast(const std::map<HostId, Endpoint> &hosts, const LeaseRecord &leases,
                     int attempts, std::function<void()> done);
+    void readAgain(std::function<void()> done);
     void onRows(const std::vector<Row> &rows);
     bool isStored(const LeaseRecord &leases) const;
     void addRecorded(const LeaseRecord &leases);
