Keep a healthy run if a lease record lists an older one of the same task

What callers would see: a task whose host went, and that runs elsewhere, is stopped and started a third time after a change of the holder; with a slow stop two runs go on at once (TWICE).

Cause: the next holder takes the run in the record for the current one and any other for an orphan. Since the holder does not start such a task before the record without it is stored, this needs a record of another daemon version or a fault; a higher run number proves in any case that the older run is over.

Evidence: the new case of dispatcher_test fails without the change (the run on the other host is ordered to stop). Two more cases cover what a run that was handed over waits for.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -296,6 +296,13 @@
     }
 }
 
+/// Returns whether what an earlier holder knew of the run @p run of a task is still new.
+bool mayInherit(const JobRuntime *job, const TaskRuntime *task, std::uint64_t run)
+{
+    return job != nullptr && task != nullptr && !isTerminal(job->progress.outcome)
+           && task->phase == TaskPhase::Waiting && run > task->run;
+}
+
 /// Records that a waiting task has a run that an earlier holder ordered.
 void adoptRun(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
               FleetHost &host, std::uint64_t run, TaskPhase phase, TimePoint now)
@@ -325,6 +332,10 @@
     if (known) {
         confirmStart(dispatcher, *job);
     }
+    if (known && task->phase == TaskPhase::Uncertain && active.run > task->run) {
+        // The earlier holder ordered this run when it knew that the inherited one was over.
+        returnToWaiting(dispatcher, *job, active.task, *task, now);
+    }
     if (known && task->phase == TaskPhase::Waiting && active.run > task->run
         && !isTerminal(job->progress.outcome)) {
         adoptRun(dispatcher, *job, active.task, *task, host, active.run, TaskPhase::Running, now);
@@ -618,8 +629,7 @@
     JobRuntime *const job = findJob(dispatcher.fleet, key.job);
     TaskRuntime *const task = findTask(dispatcher.fleet, key);
     FleetHost *const state = findHost(dispatcher.fleet, host);
-    if (job == nullptr || task == nullptr || state == nullptr || isTerminal(job->progress.outcome)
-        || task->phase != TaskPhase::Waiting || run <= task->run) {
+    if (state == nullptr || !mayInherit(job, task, run)) {
         return;
     }
     // The order may still be on its way to the host.
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -216,6 +216,53 @@
     CHECK(orders.paces[0].percent == 100);
 }
 
+// Guards against a second run after a planned stop of the holder, and against a task that waits for
+// ever.
+TEST_CASE(
+    "a run that the previous holder handed over keeps its task back until it is known to be over")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1");
+    addHost(dispatcher, "h2");
+    dispatcher.fleet.hosts[{"h1"}].reachable = false;
+    const JobSpec spec = job("j", {step(1, 1000)});
+    addJob(dispatcher, spec, emptyProgress(spec), 0, true, at(0));
+    inheritRun(dispatcher, {"h1"}, key("j"), 7, at(0));
+    CHECK(startAll(dispatcher, at(10)).starts.empty());
+    SUBCASE("the host answers and does not list it")
+    {
+        applyReport(dispatcher, {"h1"}, {}, at(20), true, at(30));
+    }
+    SUBCASE("the lease of the host is over")
+    {
+        declareRunsLost(dispatcher, {"h1"}, "the lease has expired", at(30));
+    }
+    // The recovery has not finished: other hosts may not have reported.
+    const Orders orders = startAll(dispatcher, at(40));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].run > 7);
+}
+
+// Guards against a healthy run that is stopped because a record lists an older run elsewhere.
+// Review of issue 30.
+TEST_CASE("a later run on another host takes the place of a run that was handed over")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1");
+    addHost(dispatcher, "h2");
+    const JobSpec spec = job("j", {step(1, 1000)});
+    addJob(dispatcher, spec, emptyProgress(spec), 0, true, at(0));
+    inheritRun(dispatcher, {"h1"}, key("j"), 7, at(0));
+    const HostReport listing{.active = {{.task = key("j"), .run = 8}}};
+    applyReport(dispatcher, {"h2"}, listing, at(10), true, at(10));
+    declareRunsLost(dispatcher, {"h1"}, "the lease has expired", at(20));
+    endRecovery(dispatcher);
+    const Orders orders = startAll(dispatcher, at(30));
+    CHECK(orders.stops.empty());
+    CHECK(orders.starts.empty());
+    CHECK(findTask(dispatcher.fleet, key("j"))->host == HostId{"h2"});
+}
+
 // Guards against committing a host beyond its capacity while a run that is no longer needed is
 // being stopped.
 TEST_CASE("a run whose task is done elsewhere occupies its host until it ends")
