Write no lease record as a holder that may not act

What callers would see: a task starts elsewhere while the lease of its silent host goes on (TWICE).

Cause: remaining leases count from when the record is made, and the next holder relies on that being before the time at which its predecessor had stopped. A holder that was frozen or cut off, and had lost the shard without knowing it, still made a record when a host list or a report arrived; its condition holds until the next holder writes.

--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -1813,6 +1813,23 @@
     CHECK_FALSE(record.hosts.at({host}).runs);
 }
 
+// Guards against leases that are counted from too early a time: a holder that another one has
+// replaced makes a new record, whose remaining times start when it is made.
+TEST_CASE("a holder that may not act writes no lease record")
+{
+    Cluster cluster(2);
+    cluster.hostLease = milliseconds(8000);
+    cluster.startHolder(1);
+    const std::string silent = cluster.runOneTask();
+    cluster.silenceHost(silent, false);
+    REQUIRE(cluster.waitUntilRecorded(silent, true));
+    cluster.runOnLoop([&] { cluster.mayAct[1] = false; });
+    std::this_thread::sleep_for(milliseconds(100));
+    const milliseconds remaining = cluster.storedLeases().hosts.at({silent}).remaining;
+    std::this_thread::sleep_for(milliseconds(1500));
+    CHECK(cluster.storedLeases().hosts.at({silent}).remaining == remaining);
+}
+
 // Guards against a record of an older holder that is taken for that of the previous one.
 TEST_CASE("a lease record of an earlier epoch than the previous one is not used")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -70,6 +70,12 @@
     bool admitted = false;
 };
 
+/// A host that has announced that it leaves, or left the host list, likely will not answer again.
+int failuresBeforeRecordOf(const FleetHost &host)
+{
+    return host.leaving || !host.listed ? 1 : failuresBeforeRecord;
+}
+
 /// A host that may hold a lease of an earlier holder.
 struct InheritedHost
 {
@@ -403,11 +409,13 @@
 /// Stores the hosts that may hold a lease, and those whose leases are not extended.
 void FleetHolder::Impl::writeRoster()
 {
-    if (finishing || !roster.isRead() || roster.isWriting()) {
+    // The next holder counts on records that were made while their holder might act.
+    const TimePoint now = bootClockNow();
+    if (finishing || !roster.isRead() || roster.isWriting() || !env.mayAct()) {
         return;
     }
     leaseRecordOld = false;
-    roster.write(rosterHosts(), leaseRecord(false, bootClockNow()), guarded([this] {
+    roster.write(rosterHosts(), leaseRecord(false, now), guarded([this] {
                      dispatcher.fleet.recordedTasks = roster.recordedTasks();
                      openLinks();
                      const TimePoint now = bootClockNow();
@@ -468,8 +476,8 @@
     const bool progressDurable = dispatcher.fleet.dirty.empty();
     for (const auto &[id, link] : links) {
         const auto host = dispatcher.fleet.hosts.find(id);
-        if ((!stopped && link.failures < failuresBeforeRecord)
-            || host == dispatcher.fleet.hosts.end()) {
+        if (host == dispatcher.fleet.hosts.end()
+            || (!stopped && link.failures < failuresBeforeRecordOf(host->second))) {
             continue;
         }
         internal::HostLease &lease = record.hosts[id];
@@ -490,6 +498,7 @@
 /// wait for hosts that are gone.
 void FleetHolder::Impl::writeLastLeases(std::function<void()> done)
 {
+    const TimePoint now = bootClockNow();
     if (!runsInherited || !env.mayAct() || self.expired()) {
         done();
         return;
@@ -499,7 +508,7 @@
             done();
         }
     };
-    internal::LeaseRecord record = leaseRecord(true, bootClockNow());
+    internal::LeaseRecord record = leaseRecord(true, now);
     logEvent(EventId::LeasesHandedOver,
              {{"epoch", std::to_string(options.epoch)},
               {"hosts", std::to_string(record.hosts.size())},
@@ -767,7 +776,6 @@
     if (!mayExtendLease) {
         // The next renewal follows the write that removes the host from the lease record.
         link.nextRenewalAt = now + options.renewalRetryDelay;
-        writeRoster();
         scheduleFollowUps();
         return;
     }
@@ -810,7 +818,7 @@
         return;
     }
     ++link.failures;
-    leaseRecordOld = leaseRecordOld || link.failures == failuresBeforeRecord;
+    leaseRecordOld = leaseRecordOld || link.failures <= failuresBeforeRecord;
     if (error.code == ResultCode::HostReplaced && now < link.leaseEnd) {
         // Nothing runs on a host that is gone, so that its lease need not be waited for. Its runs
         // are declared lost in the next tick.
