Hand over which long-running tasks wait for a restart, and since when

Cause: that a task ran before, and since when it waits, was known to the holder only. Its successor took the task for one that never ran and that arrived when the tables were read.

Change: the last lease record of a holder lists these tasks with their last run and the time waited. Evidence: a case of dispatcher_test (precedence and wait) and the cases of leaserecord_test; both need functions that did not exist before.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -637,6 +637,19 @@
     updateQueueCounts(dispatcher.fleet, *job, [job] { job->startOrdered = true; });
 }
 
+void inheritWait(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run, TimePoint since)
+{
+    JobRuntime *const job = findJob(dispatcher.fleet, key.job);
+    TaskRuntime *const task = findTask(dispatcher.fleet, key);
+    if (!mayInherit(job, task, run)) {
+        return;
+    }
+    task->run = run;
+    task->phaseSince = since;
+    task->accountedFor = true;
+    updateQueueCounts(dispatcher.fleet, *job, [job] { job->startOrdered = true; });
+}
+
 void applyReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
                  TimePoint sentAt, bool fenced, TimePoint now)
 {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -113,6 +113,10 @@
 void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
                 TimePoint now);
 
+/// Takes over a task that waited under the previous holder since @p since, after its run @p run. It
+/// is known not to run. Does nothing if the task is unknown, done, of an ended job, or has a run.
+void inheritWait(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run, TimePoint since);
+
 /// Applies the report of a host. @p sentAt is the time at which the lease renewal was sent.
 /// @p fenced says whether the renewal carried the newest fencing token for the host, so that orders
 /// sent before it can no longer take effect.
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -263,6 +263,24 @@
     CHECK(findTask(dispatcher.fleet, key("j"))->host == HostId{"h2"});
 }
 
+// Guards against restarts that lose their precedence with each change of the holder.
+TEST_CASE("a task that waits for its restart keeps its last run and its wait under the next holder")
+{
+    Dispatcher dispatcher;
+    StepSpec serving = step(1, 1000);
+    serving.longRunning = true;
+    const JobSpec spec = job("j", {serving});
+    addJob(dispatcher, spec, emptyProgress(spec), 0, true, at(5000));
+    inheritWait(dispatcher, key("j"), 7, at(1000));
+    const TaskRuntime &task = *findTask(dispatcher.fleet, key("j"));
+    CHECK(task.run == 7);
+    CHECK(task.phaseSince == at(1000));
+    addHost(dispatcher, "h");
+    const Orders orders = startAll(dispatcher, at(6000));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].waited == milliseconds(5000));
+}
+
 // Guards against committing a host beyond its capacity while a run that is no longer needed is
 // being stopped.
 TEST_CASE("a run whose task is done elsewhere occupies its host until it ends")
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -84,6 +84,13 @@
     std::optional<internal::HostRuns> runs;
 };
 
+/// A task that waited for a restart under an earlier holder.
+struct InheritedWait
+{
+    std::uint64_t lastRun = 0;
+    TimePoint since;
+};
+
 /// A removal of ended jobs in progress. The progress rows are deleted last: a job row without a
 /// progress row would run again under the next holder.
 struct JobRemoval
@@ -144,6 +151,7 @@
     std::map<HostId, Endpoint> rosterHosts() const;
     void writeRoster();
     bool hasWaitingRecordedTask() const;
+    void addWaitingRestarts(internal::LeaseRecord &record, TimePoint now) const;
     void writeLastLeases(std::function<void()> done);
     void tryFinishRecovery(TimePoint now);
     bool ensureJobChangesRead(TimePoint moment, TimePoint now);
@@ -215,6 +223,8 @@
     /// Hosts of the roster that the previous holder stored. The runs of each are moved to the
     /// dispatcher once both tables have been read.
     std::map<HostId, InheritedHost> inheritedHosts;
+    /// Tasks that waited for a restart under the previous holder; moved at the same time.
+    std::map<TaskKey, InheritedWait> inheritedWaits;
     /// Whether that has been done.
     bool runsInherited = false;
     TimePoint startedAt = bootClockNow();
@@ -494,6 +504,25 @@
     return record;
 }
 
+/// Adds the long-running tasks that wait for a restart and run nowhere.
+void FleetHolder::Impl::addWaitingRestarts(internal::LeaseRecord &record, TimePoint now) const
+{
+    for (const JobRuntime *const job : dispatcher.fleet.liveJobs) {
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+            const std::vector<TaskRuntime> &tasks = job->steps[step].tasks;
+            for (std::uint32_t n = 0; n < tasks.size() && job->spec.steps[step].longRunning; ++n) {
+                const TaskRuntime &task = tasks[n];
+                if (task.phase == TaskPhase::Waiting && task.run > 0
+                    && (!job->inRecovery || task.accountedFor)) {
+                    record.waiting[{.job = job->spec.id, .step = step, .index = n}] = {
+                        .lastRun = task.run,
+                        .waited = std::chrono::floor<milliseconds>(now - task.phaseSince)};
+                }
+            }
+        }
+    }
+}
+
 /// Stores for the next holder which runs may be on which hosts and until when, so that it need not
 /// wait for hosts that are gone.
 void FleetHolder::Impl::writeLastLeases(std::function<void()> done)
@@ -509,9 +538,13 @@
         }
     };
     internal::LeaseRecord record = leaseRecord(true, now);
+    if (dispatcher.fleet.dirty.empty()) {
+        addWaitingRestarts(record, now);
+    }
     logEvent(EventId::LeasesHandedOver,
              {{"epoch", std::to_string(options.epoch)},
               {"hosts", std::to_string(record.hosts.size())},
+              {"waiting_restarts", std::to_string(record.waiting.size())},
               {"unreachable", std::to_string(std::count_if(
                                   links.begin(), links.end(),
                                   [](const auto &entry) { return entry.second.failures > 0; }))},
@@ -588,13 +621,19 @@
         unknown += runs ? 0 : 1;
         inheritedHosts[id] = {.leaseEnd = leaseEnd, .runs = std::move(runs)};
     }
+    if (usable && record.stopped) {
+        for (const auto &[key, task] : record.waiting) {
+            inheritedWaits[key] = {.lastRun = task.lastRun, .since = recordMadeBy - task.waited};
+        }
+    }
     if (options.epoch > 1) {
         logEvent(EventId::LeasesInherited,
                  {{"epoch", std::to_string(options.epoch)},
                   {"record_epoch", std::to_string(record.epoch)},
                   {"planned_stop", usable && record.stopped ? "yes" : "no"},
                   {"hosts", std::to_string(inheritedHosts.size())},
-                  {"hosts_with_unknown_runs", std::to_string(unknown)}});
+                  {"hosts_with_unknown_runs", std::to_string(unknown)},
+                  {"waiting_restarts", std::to_string(inheritedWaits.size())}});
     }
     inheritRuns(now);
     openLinks();
@@ -608,6 +647,10 @@
         return;
     }
     runsInherited = true;
+    for (const auto &[key, task] : inheritedWaits) {
+        inheritWait(dispatcher, key, task.lastRun, task.since);
+    }
+    inheritedWaits.clear();
     for (auto &[id, inherited] : inheritedHosts) {
         dispatcher.fleet.hosts[id].id = id;
         if (inherited.runs) {
--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -11,14 +11,30 @@
 
 using nlohmann::json;
 
-/// Upper bound of the fields of a row around its hosts.
-constexpr std::size_t rowOverhead = 100;
+/// Upper bound of the fields of a row around its hosts and tasks, commas included.
+constexpr std::size_t rowOverhead = 200;
+
+json encodeTask(const TaskKey &task)
+{
+    return json::array({task.job.value, task.occurrence, task.step, task.index});
+}
+
+/// Throws json::exception.
+TaskKey decodeTask(const json &entry)
+{
+    return {.job = {entry.at(0).get<std::string>()},
+            .occurrence = entry.at(1).get<std::uint32_t>(),
+            .step = entry.at(2).get<std::uint32_t>(),
+            .index = entry.at(3).get<std::uint32_t>()};
+}
 
 json encodeRuns(const HostRuns &runs)
 {
     json list = json::array();
     for (const auto &[task, run] : runs) {
-        list.push_back({task.job.value, task.occurrence, task.step, task.index, run});
+        json entry = encodeTask(task);
+        entry.push_back(run);
+        list.push_back(std::move(entry));
     }
     return list;
 }
@@ -28,11 +44,7 @@
 {
     HostRuns runs;
     for (const json &entry : list) {
-        const TaskKey task{.job = {entry.at(0).get<std::string>()},
-                           .occurrence = entry.at(1).get<std::uint32_t>(),
-                           .step = entry.at(2).get<std::uint32_t>(),
-                           .index = entry.at(3).get<std::uint32_t>()};
-        runs[task] = entry.at(4).get<std::uint64_t>();
+        runs[decodeTask(entry)] = entry.at(4).get<std::uint64_t>();
     }
     return runs;
 }
@@ -47,6 +59,24 @@
     return json(id.value).dump() + ":" + host.dump();
 }
 
+std::string encodeWaiting(const TaskKey &key, const WaitingTask &task)
+{
+    json entry = encodeTask(key);
+    entry.push_back(task.lastRun);
+    entry.push_back(task.waited.count());
+    return entry.dump();
+}
+
+/// Throws json::exception.
+void addWaiting(const json &row, LeaseRecord &record)
+{
+    for (const json &entry : row.at("waiting")) {
+        record.waiting[decodeTask(entry)] = {.lastRun = entry.at(4).get<std::uint64_t>(),
+                                             .waited =
+                                                 milliseconds(entry.at(5).get<std::int64_t>())};
+    }
+}
+
 /// Throws json::exception.
 void addHosts(const json &row, LeaseRecord &record)
 {
@@ -63,28 +93,45 @@
 
 std::vector<std::string> encodeLeases(const LeaseRecord &record, std::size_t maxBytes)
 {
-    std::vector<std::string> lists(1);
+    /// Members of the JSON object and list of one row.
+    struct RowText
+    {
+        std::string hosts;
+        std::string waiting;
+    };
+    std::vector<RowText> texts(1);
     std::size_t total = 0;
+    const auto add = [&](std::string RowText::*list, const std::string &text) {
+        total += text.size() + 1;
+        if (texts.back().hosts.size() + texts.back().waiting.size() + text.size() + rowOverhead
+            > maxJobRowBytes) {
+            texts.emplace_back();
+        }
+        std::string &members = texts.back().*list;
+        members += (members.empty() ? "" : ",") + text;
+    };
     for (const auto &[id, lease] : record.hosts) {
         std::string text = encodeHost(id, lease);
         if (total + text.size() > maxBytes || text.size() + rowOverhead > maxJobRowBytes) {
             text = encodeHost(id, {.remaining = lease.remaining});
         }
-        total += text.size();
-        if (lists.back().size() + text.size() + rowOverhead > maxJobRowBytes) {
-            lists.emplace_back();
+        add(&RowText::hosts, text);
+    }
+    for (const auto &[key, task] : record.waiting) {
+        const std::string text = encodeWaiting(key, task);
+        if (total + text.size() <= maxBytes) {
+            add(&RowText::waiting, text);
         }
-        lists.back() += (lists.back().empty() ? "" : ",") + text;
     }
     std::vector<std::string> rows;
-    for (const std::string &hosts : lists) {
+    for (const RowText &text : texts) {
         const json fields{{"epoch", record.epoch},
                           {"stopped", record.stopped},
                           {"since_heartbeat_ms", record.sinceHeartbeat.count()},
-                          {"rows", lists.size()}};
+                          {"rows", texts.size()}};
         std::string row = fields.dump();
         row.pop_back();
-        rows.push_back(row + ",\"hosts\":{" + hosts + "}}");
+        rows.push_back(row + ",\"hosts\":{" + text.hosts + "},\"waiting\":[" + text.waiting + "]}");
     }
     return rows;
 }
@@ -102,6 +149,7 @@
                 return failure(ResultCode::CorruptSnapshot, "a row is missing", "lease record");
             }
             addHosts(row, record);
+            addWaiting(row, record);
         }
         return record;
     } catch (const json::exception &e) {
--- a/packages/fleet/internal/leaserecord.h
+++ b/packages/fleet/internal/leaserecord.h
@@ -26,6 +26,16 @@
     std::optional<HostRuns> runs;
 };
 
+/// A task without a run that had one before.
+struct WaitingTask
+{
+    std::uint64_t lastRun = 0;
+    /// Time for which it had waited when the record was made.
+    milliseconds waited{0};
+
+    friend bool operator==(const WaitingTask &, const WaitingTask &) = default;
+};
+
 /// Leases that a holder leaves to the next one. Without it the next holder has to assume that each
 /// host got a whole lease at the last moment and may run any task.
 struct LeaseRecord
@@ -36,6 +46,9 @@
     /// only the hosts are listed whose leases the holder does not extend.
     bool stopped = false;
     std::map<HostId, HostLease> hosts;
+    /// If the holder had stopped: long-running tasks that wait for a restart, and that no host
+    /// runs.
+    std::map<TaskKey, WaitingTask> waiting;
     /// Time between the sending of the holder's last confirmed heartbeat and the making of this
     /// record. A daemon that has seen that heartbeat, or a later one, knows when the record was
     /// made at the latest.
@@ -43,7 +56,7 @@
 };
 
 /// Returns the values of the rows that contain @p record, each with at most maxJobRowBytes. Leaves
-/// out the runs of hosts for which @p maxBytes do not suffice. Thread-safe.
+/// out waiting tasks, and the runs of hosts, for which @p maxBytes do not suffice. Thread-safe.
 std::vector<std::string> encodeLeases(const LeaseRecord &record, std::size_t maxBytes);
 
 /// Decodes the values of encodeLeases() in any order. Errors: CorruptSnapshot, also if a row is
--- a/packages/fleet/leaserecord_test.cpp
+++ b/packages/fleet/leaserecord_test.cpp
@@ -25,6 +25,8 @@
             runs[{.job = {"job-" + std::to_string(n)}, .step = 1, .index = index}] = 600'001;
         }
         record.hosts[{"h" + std::to_string(n)}] = {.remaining = milliseconds(n), .runs = runs};
+        record.waiting[{.job = {"waiting-" + std::to_string(n)}}] = {.lastRun = 5,
+                                                                     .waited = milliseconds(n)};
     }
     return record;
 }
@@ -44,6 +46,7 @@
     REQUIRE(decoded);
     CHECK(decoded->epoch == record.epoch);
     CHECK(decoded->stopped);
+    CHECK(decoded->waiting == record.waiting);
     CHECK(decoded->sinceHeartbeat == record.sinceHeartbeat);
     REQUIRE(decoded->hosts.size() == record.hosts.size());
     for (const auto &[id, lease] : record.hosts) {
@@ -68,6 +71,7 @@
     CHECK(decoded->hosts.size() == record.hosts.size());
     CHECK(decoded->hosts.at({"h0"}).runs);
     CHECK_FALSE(decoded->hosts.at({"h999"}).runs);
+    CHECK(decoded->waiting.size() < record.waiting.size());
 }
 
 TEST_CASE("a lease record without rows is empty")
