Count the downtime of a restart from the last report of its lost host

Cause: the wait that makes a restart overdue (2.5 s) and urgent (4.5 s) began when the run was declared lost, which is when the lease of the host has expired, 6 s after its last report. Until then short tasks took the room, so the restart came 8.5 to 10.7 s after the host went; users allow 6 s, and 3 s more while there is room.

Change: a waiting task has the time at which a run of it was last known to be present. A refused start, or one that a host turns out not to have executed, leaves it as it is. What is kept free for restarts is unchanged: it counts from when the run was declared lost. 8021 has down_ms beside waited_ms.

With declareRunsLost() as before, the new case of dispatch_test fails: the short task starts instead of the restart. Two existing tests set times directly: the host in "long-running tasks that lost their host start before those that never ran" now reports until it is replaced, as a host that is replaced at once does; without that the task would have been away for 6 s. "a long-running task starts although a task with a shorter wait finds no host" sets the new field instead of phaseSince. The expectations are the same.

--- a/packages/dispatch/avoidedhost_test.cpp
+++ b/packages/dispatch/avoidedhost_test.cpp
@@ -148,7 +148,7 @@
     fleet.submit("long", step, at(0));
     TaskRuntime *const young = findTask(fleet.dispatcher.fleet, {.job = {"long"}});
     REQUIRE(young != nullptr);
-    young->phaseSince = at(1400);
+    young->downSince = at(1400);
     const std::vector<StartRun> starts = fleet.planAt(at(1500));
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].task.index == 1);
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -46,12 +46,27 @@
     return job.progress.steps[task.step].done[task.index];
 }
 
+/// Returns when the current run of a task was last known to be present on @p host. If it never was,
+/// returns since when the task was down before the start was ordered.
+TimePoint lastPresentAt(const TaskRuntime &task, const FleetHost &host)
+{
+    switch (task.phase) {
+    case TaskPhase::Running:
+        return std::max(task.phaseSince, host.reportedAt);
+    case TaskPhase::Stopping:
+        return std::max(task.downSince, host.reportedAt);
+    default:
+        return task.downSince;
+    }
+}
+
 /// Removes the task's run from its host. Sets the task to Done if it is recorded as done, otherwise
-/// to Waiting. Keeps its checkpoint.
+/// to Waiting. Keeps its checkpoint. @p downSince becomes TaskRuntime::downSince.
 void returnToWaiting(Dispatcher &dispatcher, JobRuntime &job, const TaskKey &key, TaskRuntime &task,
-                     TimePoint now)
+                     TimePoint downSince, TimePoint now)
 {
     task.phaseSince = now;
+    task.downSince = downSince;
     if (FleetHost *const host = findHost(dispatcher.fleet, task.host)) {
         const auto it = host->runs.find(key);
         if (it != host->runs.end() && it->second == task.run) {
@@ -114,7 +129,7 @@
             if (n != key.index && member.phase != TaskPhase::Done) {
                 progress.done[n] = true;
                 returnToWaiting(dispatcher, job, {key.job, key.occurrence, key.step, n}, member,
-                                now);
+                                now, now);
             }
         }
     }
@@ -141,7 +156,7 @@
                   TimePoint now)
 {
     job.progress.steps[key.step].done[key.index] = true;
-    returnToWaiting(dispatcher, job, key, task, now);
+    returnToWaiting(dispatcher, job, key, task, now, now);
     recordTaskDone(dispatcher, job, key, now);
 }
 
@@ -149,7 +164,7 @@
               TimePoint now)
 {
     const HostId host = task.host;
-    returnToWaiting(dispatcher, job, key, task, now);
+    returnToWaiting(dispatcher, job, key, task, now, now);
     task.lastFailedHost = host;
 }
 
@@ -274,7 +289,7 @@
         }
         failTask(dispatcher, *job, ended.task, *task, now);
     } else {
-        returnToWaiting(dispatcher, *job, ended.task, *task, now);
+        returnToWaiting(dispatcher, *job, ended.task, *task, now, now);
     }
 }
 
@@ -378,7 +393,7 @@
                                   .run = run,
                                   .reason = confirmed ? "the host no longer reports the run"
                                                       : "the host does not have the run"});
-            returnToWaiting(dispatcher, *job, key, *task, now);
+            returnToWaiting(dispatcher, *job, key, *task, lastPresentAt(*task, host), now);
         }
     }
 }
@@ -476,15 +491,14 @@
     if (task.phase != TaskPhase::Waiting || now < task.notBefore) {
         return false;
     }
-    const Duration waited = now - task.phaseSince;
+    const Duration down = now - task.downSince;
     if (rule == StartRule::Restart) {
-        return task.run > 0 && isOverdue(waited)
-               && (isRestartUrgent(waited)
+        return task.run > 0 && isOverdue(down)
+               && (isRestartUrgent(down)
                    || hasRoomForTwo(dispatcher.fleet, roomCache, job.spec.terms.service, step));
     }
     if (rule == StartRule::OverdueOnly) {
-        return isOverdue(waited)
-               && dispatcher.fleet.spareBesidesRestarts >= step.taskSize.milliCores
+        return isOverdue(down) && dispatcher.fleet.spareBesidesRestarts >= step.taskSize.milliCores
                && hasRoomForTwo(dispatcher.fleet, roomCache, job.spec.terms.service, step);
     }
     return !step.longRunning || leavesRoomForUrgentTasks(dispatcher.fleet, step);
@@ -549,7 +563,8 @@
     for (std::size_t n = 0; n < job->spec.steps.size(); ++n) {
         StepRuntime step;
         step.image = imageId(dispatcher.fleet.interference, job->spec.steps[n].image);
-        step.tasks.resize(job->spec.steps[n].tasks, TaskRuntime{.phaseSince = now});
+        step.tasks.resize(job->spec.steps[n].tasks,
+                          TaskRuntime{.phaseSince = now, .downSince = now});
         for (std::size_t task = 0; task < step.tasks.size(); ++task) {
             if (job->progress.steps[n].done[task]) {
                 step.tasks[task].phase = TaskPhase::Done;
@@ -691,7 +706,7 @@
     }
     // A refused start does not reset the time for which the task has waited.
     const TimePoint waitsSince = task->phaseSince - order.waited;
-    returnToWaiting(dispatcher, *job, order.task, *task, now);
+    returnToWaiting(dispatcher, *job, order.task, *task, task->downSince, now);
     task->phaseSince = waitsSince;
     // An immediate retry would likely choose the same host and be refused again.
     task->notBefore = now + (outcome == StartOutcome::Malformed ? malformedDelay : refusedDelay);
@@ -720,7 +735,7 @@
                               .host = host,
                               .run = run,
                               .reason = reason});
-        returnToWaiting(dispatcher, *job, key, *task, now);
+        returnToWaiting(dispatcher, *job, key, *task, lastPresentAt(*task, *state), now);
     }
     removeAllRuns(*state);
 }
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -589,6 +589,7 @@
     add(dispatcher, job("short", {step(1, 8000)}), at(0));
     CHECK(plan(dispatcher, at(6000)).starts.empty());
     REQUIRE(cancelJob(dispatcher, {"short"}, at(6050)));
+    dispatcher.fleet.hosts[{"h"}].reportedAt = at(6100);
     declareRunsLost(dispatcher, {"h"}, "the host was replaced", at(6100));
     CHECK(plan(dispatcher, at(6110)).starts.empty());
     const Orders overdue = plan(dispatcher, at(8700));
@@ -646,6 +647,48 @@
     CHECK(orders.starts[0].task.job.value == "lost");
 }
 
+// Guards against a long-running task whose host is gone and that stays away for longer than users
+// allow, because its downtime counts from the end of the host's lease. Issue 30.
+TEST_CASE("the downtime of a restart counts from the last report of the lost host")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1", 2000);
+    JobSpec lost = job("lost", {step(1, 2000)});
+    lost.steps[0].longRunning = true;
+    add(dispatcher, lost, at(0));
+    const Orders first = startAll(dispatcher, at(10));
+    REQUIRE(first.starts.size() == 1);
+    const HostReport report{.active = {{.task = key("lost"), .run = first.starts[0].run}}};
+    add(dispatcher, job("short", {step(1, 2000)}), at(20));
+    SUBCASE("last report long ago")
+    {
+        applyReport(dispatcher, {"h1"}, report, at(990), true, at(1000));
+        declareRunsLost(dispatcher, {"h1"}, "its lease has expired", at(7200));
+        const Orders urgent = plan(dispatcher, at(7210));
+        REQUIRE(urgent.starts.size() == 1);
+        CHECK(urgent.starts[0].task.job.value == "lost");
+        // Neither a refused start nor one without an answer resets the downtime.
+        applyStartOutcome(dispatcher, urgent.starts[0], StartOutcome::NoRoom, at(7220));
+        findJob(dispatcher.fleet, {"short"})->steps[0].tasks[0].notBefore = at(7280);
+        const Orders again = plan(dispatcher, at(7280));
+        REQUIRE(again.starts.size() == 1);
+        CHECK(again.starts[0].task.job.value == "lost");
+        applyStartOutcome(dispatcher, again.starts[0], StartOutcome::Unknown, at(7480));
+        applyReport(dispatcher, {"h1"}, {}, at(7490), true, at(7500));
+        const Orders third = plan(dispatcher, at(7510));
+        REQUIRE(third.starts.size() == 1);
+        CHECK(third.starts[0].task.job.value == "lost");
+    }
+    SUBCASE("last report shortly before")
+    {
+        applyReport(dispatcher, {"h1"}, report, at(6990), true, at(7000));
+        declareRunsLost(dispatcher, {"h1"}, "its address has another host", at(7200));
+        const Orders orders = plan(dispatcher, at(7210));
+        REQUIRE(orders.starts.size() == 1);
+        CHECK(orders.starts[0].task.job.value == "short");
+    }
+}
+
 // Guards against starting tasks that may still be running on a host that has not reported.
 TEST_CASE("tasks of a recovered job wait until the recovery ends")
 {
--- a/packages/dispatch/fleetstate.h
+++ b/packages/dispatch/fleetstate.h
@@ -50,6 +50,9 @@
     /// start was confirmed. Uncertain: when the start order timed out. Stopping: when the stop
     /// order was last sent.
     TimePoint phaseSince;
+    /// When a run of the task was last known to be present; when the task was added if none was.
+    /// Only valid in phase Waiting, and earlier than phaseSince after a run was declared lost.
+    TimePoint downSince;
     /// Progress in the last report, and when it last increased.
     int percent = 0;
     TimePoint progressedAt;
--- a/packages/dispatch/placement.cpp
+++ b/packages/dispatch/placement.cpp
@@ -224,11 +224,11 @@
                            const TaskRuntime &task, TimePoint now)
 {
     const PlacementPermits widest = widestPermits(fleet, job, step);
-    const Duration waited = now - task.phaseSince;
+    const bool longRunning = job.spec.steps[step].longRunning;
+    const Duration waited = now - (longRunning ? task.downSince : task.phaseSince);
     const bool mayUseAvoidedHosts =
         widest.mayUseAvoidedHosts
-        && waited >= (job.spec.steps[step].longRunning ? useAvoidedHostsAfter
-                                                       : allowInterferenceAfter);
+        && waited >= (longRunning ? useAvoidedHostsAfter : allowInterferenceAfter);
     return {.mayInterfere = widest.mayInterfere && waited >= allowInterferenceAfter,
             .mayUseAvoidedHosts = mayUseAvoidedHosts,
             .excludedHost = mayUseAvoidedHosts || waited >= retrySameHostAfter
--- a/packages/dispatch/waitorder.cpp
+++ b/packages/dispatch/waitorder.cpp
@@ -14,11 +14,11 @@
 constexpr int tooLateObjectiveMultiple = 3;
 /// Half-life of the recorded peak demand of short tasks; twice the usual period of the load.
 constexpr double demandHalfLifeSeconds = 20.0;
-/// Wait after which a long-running task may use room that is reserved for short tasks. The
+/// Downtime after which a long-running task may use room that is reserved for short tasks. The
 /// requirement allows it 6 s without a run, and 3 s more while there is room.
 constexpr Duration overdueAfter = milliseconds(2500);
-/// Wait after which a restart no longer waits for room for two. Users see room for two before the
-/// holder does, whose reports are up to a second old in a full fleet.
+/// Downtime after which a restart no longer waits for room for two. Users see room for two before
+/// the holder does, whose reports are up to a second old in a full fleet.
 constexpr Duration restartUrgentAfter = milliseconds(4500);
 /// Wait up to which free processors are kept for a restart. One that has not started by then needs
 /// a larger place than there is.
@@ -156,18 +156,18 @@
 bool hasOverdueRestart(const StepRuntime &step, TimePoint now)
 {
     return std::any_of(step.tasks.begin(), step.tasks.end(), [now](const TaskRuntime &task) {
-        return task.phase == TaskPhase::Waiting && task.run > 0 && isOverdue(now - task.phaseSince);
+        return task.phase == TaskPhase::Waiting && task.run > 0 && isOverdue(now - task.downSince);
     });
 }
 
-bool isRestartUrgent(Duration waited)
+bool isRestartUrgent(Duration down)
 {
-    return waited >= restartUrgentAfter;
+    return down >= restartUrgentAfter;
 }
 
-bool isOverdue(Duration waited)
+bool isOverdue(Duration down)
 {
-    return waited >= overdueAfter;
+    return down >= overdueAfter;
 }
 
 bool leavesRoomForUrgentTasks(const FleetState &fleet, const StepSpec &step)
--- a/packages/dispatch/waitorder.h
+++ b/packages/dispatch/waitorder.h
@@ -35,17 +35,17 @@
 /// reserve, those would take the new hosts first.
 void updateRestartDemand(FleetState &fleet, TimePoint now);
 
-/// Returns whether a long-running task that has waited for @p waited must start before all other
+/// Returns whether a long-running task that has been down for @p down must start before all other
 /// tasks as soon as the fleet has room for two such tasks. It serves users, so each second of
 /// downtime matters. Thread-safe.
-bool isOverdue(Duration waited);
+bool isOverdue(Duration down);
 
 /// Returns whether a task of a long-running step ran before, waits again, and is overdue.
 bool hasOverdueRestart(const StepRuntime &step, TimePoint now);
 
-/// Returns whether the restart of a long-running task that has waited for @p waited must take the
+/// Returns whether the restart of a long-running task that has been down for @p down must take the
 /// first place that there is. Thread-safe.
-bool isRestartUrgent(Duration waited);
+bool isRestartUrgent(Duration down);
 
 /// Returns whether enough processors for the recent peak of short tasks would remain if a
 /// long-running task of @p step started.
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -98,7 +98,7 @@
 {
     const FleetState &fleet = dispatcher.fleet;
     const StepSpec &spec = job.spec.steps[step];
-    WaitReason reason{.waited = now - task.phaseSince};
+    WaitReason reason{.waited = now - task.phaseSince, .down = now - task.downSince};
     const PlacementPermits permits = permitsOf(fleet, job, step, task, now);
     RejectionCounts hosts{};
     for (const auto &[id, host] : fleet.hosts) {
@@ -129,8 +129,8 @@
         reason.rule = ruleFor(hosts);
     } else if (spec.longRunning && !leavesRoomForUrgentTasks(fleet, spec)) {
         const bool isRestart = task.run > 0;
-        if (!isOverdue(reason.waited)
-            || (reason.places < 2 && !(isRestart && isRestartUrgent(reason.waited)))) {
+        if (!isOverdue(reason.down)
+            || (reason.places < 2 && !(isRestart && isRestartUrgent(reason.down)))) {
             reason.rule = WaitRule::UrgentRoom;
         } else if (!isRestart && fleet.spareBesidesRestarts < spec.taskSize.milliCores) {
             reason.rule = WaitRule::RestartRoom;
--- a/packages/dispatch/waitreason.h
+++ b/packages/dispatch/waitreason.h
@@ -47,6 +47,8 @@
 {
     WaitRule rule = WaitRule::NextRound;
     Duration waited{0};
+    /// Time since a run of the task was last known to be present.
+    Duration down{0};
     /// Hosts that suit the task, and hosts that would suit it if the task did not have to avoid
     /// them.
     int suitableHosts = 0;
--- a/packages/fleet/internal/holderlog.cpp
+++ b/packages/fleet/internal/holderlog.cpp
@@ -147,6 +147,7 @@
                   {"task", describe({.job = job.spec.id, .step = step.step, .index = step.task})},
                   {"rule", rule},
                   {"waited_ms", inMilliseconds(reason.waited)},
+                  {"down_ms", inMilliseconds(reason.down)},
                   {"restart", step.isRestart ? "yes" : "no"},
                   {"waiting_in_step", std::to_string(job.steps[step.step].waiting)},
                   {"millicores", std::to_string(size.milliCores)},
