Count the downtime of a handed-over run from the last lease of its host

Cause: the new holder knew the runs of the silent hosts, but took the change of the holder for the beginning of their tasks' downtime, so that a restart became overdue and urgent too late.

Change: inheritRun() gets the time of the last extension of the host's lease, which follows from the lease record: the host answered at that time. Without the assignment, the new case of dispatch_test fails: the short task starts instead of the restart.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -626,7 +626,7 @@
 }
 
 void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
-                TimePoint now)
+                TimePoint lastPresentAt, TimePoint now)
 {
     JobRuntime *const job = findJob(dispatcher.fleet, key.job);
     TaskRuntime *const task = findTask(dispatcher.fleet, key);
@@ -637,6 +637,7 @@
     }
     // The order may still be on its way to the host.
     adoptRun(dispatcher, *job, key, *task, *state, run, TaskPhase::Uncertain, now);
+    task->downSince = lastPresentAt;
     updateQueueCounts(dispatcher.fleet, *job, [job] { job->startOrdered = true; });
 }
 
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -109,9 +109,11 @@
 
 /// Takes over a run that the previous holder ordered on @p host, which has not reported to this
 /// holder yet. The task waits until a report, or the end of the host's lease, shows that the run is
-/// over. Does nothing if the task is unknown, done, of an ended job, or has a run already.
+/// over. @p lastPresentAt is when the host last had it, as far as known; if it turns out to be
+/// over, the task has been down since then. Does nothing if the task is unknown, done, of an ended
+/// job, or has a run already.
 void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
-                TimePoint now);
+                TimePoint lastPresentAt, TimePoint now);
 
 /// Applies the report of a host. @p sentAt is the time at which the lease renewal was sent.
 /// @p fenced says whether the renewal carried the newest fencing token for the host, so that orders
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -689,6 +689,36 @@
     }
 }
 
+// Guards against a long-running task that stays away because its downtime counts from the change of
+// the holder. Issue 30.
+TEST_CASE(
+    "the downtime of a restart counts from the last lease of a host that a holder handed over")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h1", 2000);
+    addHost(dispatcher, "h2", 2000);
+    dispatcher.fleet.hosts[{"h1"}].reachable = false;
+    JobSpec lost = job("lost", {step(1, 2000)});
+    lost.steps[0].longRunning = true;
+    add(dispatcher, lost, at(5000));
+    add(dispatcher, job("short", {step(1, 2000)}), at(5000));
+    std::string first;
+    SUBCASE("granted long ago")
+    {
+        inheritRun(dispatcher, {"h1"}, key("lost"), 7, at(1000), at(5000));
+        first = "lost";
+    }
+    SUBCASE("granted until the holder changed")
+    {
+        inheritRun(dispatcher, {"h1"}, key("lost"), 7, at(4900), at(5000));
+        first = "short";
+    }
+    declareRunsLost(dispatcher, {"h1"}, "its lease has expired", at(7200));
+    const Orders orders = plan(dispatcher, at(7210));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].task.job.value == first);
+}
+
 // Guards against starting tasks that may still be running on a host that has not reported.
 TEST_CASE("tasks of a recovered job wait until the recovery ends")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -582,8 +582,11 @@
     for (auto &[id, inherited] : inheritedHosts) {
         dispatcher.fleet.hosts[id].id = id;
         if (inherited.runs) {
+            // The host answered when the previous holder last extended its lease.
+            const TimePoint lastPresentAt =
+                std::min(inherited.leaseEnd - maxLeaseDuration(options.lease), now);
             for (const auto &[task, run] : *inherited.runs) {
-                inheritRun(dispatcher, id, task, run, now);
+                inheritRun(dispatcher, id, task, run, lastPresentAt, now);
             }
             inherited.runs->clear();
         }
