--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -109,13 +109,17 @@
 
 /// Takes over a run that the previous holder ordered on @p host, which has not reported to this
 /// holder yet. The task waits until a report, or the end of the host's lease, shows that the run is
-/// over. Does nothing if the task is unknown, done, of an ended job, or has a run already.
+/// over. @p lastPresentAt is when the host last had it, as far as known; if it turns out to be
+/// over, the task has been down since then. Does nothing if the task is unknown, done, of an ended
+/// job, or has a run already.
 void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
-                TimePoint now);
+                TimePoint lastPresentAt, TimePoint now);
 
 /// Takes over a task that waited under the previous holder since @p since, after its run @p run. It
-/// is known not to run. Does nothing if the task is unknown, done, of an ended job, or has a run.
-void inheritWait(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run, TimePoint since);
+/// is known not to run, and was last known to run at @p downSince. Does nothing if the task is
+/// unknown, done, of an ended job, or has a run.
+void inheritWait(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run, TimePoint since,
+                 TimePoint downSince);
 
 /// Applies the report of a host. @p sentAt is the time at which the lease renewal was sent.
 /// @p fenced says whether the renewal carried the newest fencing token for the host, so that orders
--- a/packages/dispatch/waitreason.cpp
+++ b/packages/dispatch/waitreason.cpp
@@ -102,7 +102,7 @@
 {
     const FleetState &fleet = dispatcher.fleet;
     const StepSpec &spec = job.spec.steps[step];
-    WaitReason reason{.waited = now - task.phaseSince};
+    WaitReason reason{.waited = now - task.phaseSince, .down = now - task.downSince};
     const auto index = static_cast<std::uint32_t>(&task - job.steps[step].tasks.data());
     const TaskKey key{.job = job.spec.id, .step = step, .index = index};
     const PlacementPermits permits = permitsOf(fleet, job, step, task, now);
@@ -137,8 +137,8 @@
         reason.rule = ruleFor(hosts);
     } else if (spec.longRunning && !leavesRoomForUrgentTasks(fleet, spec)) {
         const bool isRestart = task.run > 0;
-        if (!isOverdue(reason.waited)
-            || (reason.places < 2 && !(isRestart && isRestartUrgent(reason.waited)))) {
+        if (!isOverdue(reason.down)
+            || (reason.places < 2 && !(isRestart && isRestartUrgent(reason.down)))) {
             reason.rule = WaitRule::UrgentRoom;
         } else if (!isRestart && fleet.spareBesidesRestarts < spec.taskSize.milliCores) {
             reason.rule = WaitRule::RestartRoom;
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -89,6 +89,7 @@
 {
     std::uint64_t lastRun = 0;
     TimePoint since;
+    TimePoint downSince;
 };
 
 /// A removal of ended jobs in progress. The progress rows are deleted last: a job row without a
@@ -516,7 +517,8 @@
                     && (!job->inRecovery || task.accountedFor)) {
                     record.waiting[{.job = job->spec.id, .step = step, .index = n}] = {
                         .lastRun = task.run,
-                        .waited = std::chrono::floor<milliseconds>(now - task.phaseSince)};
+                        .waited = std::chrono::floor<milliseconds>(now - task.phaseSince),
+                        .down = std::chrono::floor<milliseconds>(now - task.downSince)};
                 }
             }
         }
@@ -623,7 +625,9 @@
     }
     if (usable && record.stopped) {
         for (const auto &[key, task] : record.waiting) {
-            inheritedWaits[key] = {.lastRun = task.lastRun, .since = recordMadeBy - task.waited};
+            inheritedWaits[key] = {.lastRun = task.lastRun,
+                                   .since = recordMadeBy - task.waited,
+                                   .downSince = recordMadeBy - task.down};
         }
     }
     if (options.epoch > 1) {
@@ -648,14 +652,17 @@
     }
     runsInherited = true;
     for (const auto &[key, task] : inheritedWaits) {
-        inheritWait(dispatcher, key, task.lastRun, task.since);
+        inheritWait(dispatcher, key, task.lastRun, task.since, task.downSince);
     }
     inheritedWaits.clear();
     for (auto &[id, inherited] : inheritedHosts) {
         dispatcher.fleet.hosts[id].id = id;
         if (inherited.runs) {
+            // The host answered when the previous holder last extended its lease.
+            const TimePoint lastPresentAt =
+                std::min(inherited.leaseEnd - maxLeaseDuration(options.lease), now);
             for (const auto &[task, run] : *inherited.runs) {
-                inheritRun(dispatcher, id, task, run, now);
+                inheritRun(dispatcher, id, task, run, lastPresentAt, now);
             }
             inherited.runs->clear();
         }
--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -64,6 +64,7 @@
     json entry = encodeTask(key);
     entry.push_back(task.lastRun);
     entry.push_back(task.waited.count());
+    entry.push_back(task.down.count());
     return entry.dump();
 }
 
@@ -73,7 +74,8 @@
     for (const json &entry : row.at("waiting")) {
         record.waiting[decodeTask(entry)] = {.lastRun = entry.at(4).get<std::uint64_t>(),
                                              .waited =
-                                                 milliseconds(entry.at(5).get<std::int64_t>())};
+                                                 milliseconds(entry.at(5).get<std::int64_t>()),
+                                             .down = milliseconds(entry.at(6).get<std::int64_t>())};
     }
 }
 
--- a/packages/fleet/internal/leaserecord.h
+++ b/packages/fleet/internal/leaserecord.h
@@ -32,6 +32,8 @@
     std::uint64_t lastRun = 0;
     /// Time for which it had waited when the record was made.
     milliseconds waited{0};
+    /// Time since a run of it was last known to be present.
+    milliseconds down{0};
 
     friend bool operator==(const WaitingTask &, const WaitingTask &) = default;
 };
--- a/packages/fleet/leaserecord_test.cpp
+++ b/packages/fleet/leaserecord_test.cpp
@@ -25,8 +25,8 @@
             runs[{.job = {"job-" + std::to_string(n)}, .step = 1, .index = index}] = 600'001;
         }
         record.hosts[{"h" + std::to_string(n)}] = {.remaining = milliseconds(n), .runs = runs};
-        record.waiting[{.job = {"waiting-" + std::to_string(n)}}] = {.lastRun = 5,
-                                                                     .waited = milliseconds(n)};
+        record.waiting[{.job = {"waiting-" + std::to_string(n)}}] = {
+            .lastRun = 5, .waited = milliseconds(n), .down = milliseconds(2 * n)};
     }
     return record;
 }
