Hand the downtime of waiting restarts over to the next holder

What callers saw: a long-running task that lost its host before a planned change of the holder was treated by the next holder as one that never ran. No LOST was traced to this alone; users count room for two such tasks, and in the trace there was room for one.

Cause: the lease record names runs that may be on a host. A task whose run is known to be lost, and that waits for room, is in no such list. The next holder took it for a first start, which has to leave the room reserved for short tasks, and counted its downtime from the change.

Epoch 2 loaded the jobs at 58.04 s; at 61.62 s 8021 says rule=urgent_room restart=no down_ms=3715 places=1, and the task starts at 71.38 s. A restart that is urgent takes the only place.

Change: the record of a holder that has stopped also lists the long-running tasks that wait for a restart, with the number of the last run and the downtime. After a loss of power nothing is known of them, as before. Without taking them over, the new case of fleet_test fails, as the run number stays 0.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -641,6 +641,19 @@
     updateQueueCounts(dispatcher.fleet, *job, [job] { job->startOrdered = true; });
 }
 
+void inheritDowntime(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run,
+                     TimePoint downSince)
+{
+    const JobRuntime *const job = findJob(dispatcher.fleet, key.job);
+    TaskRuntime *const task = findTask(dispatcher.fleet, key);
+    if (job == nullptr || task == nullptr || isTerminal(job->progress.outcome)
+        || task->phase != TaskPhase::Waiting || run <= task->run) {
+        return;
+    }
+    task->run = run;
+    task->downSince = downSince;
+}
+
 void applyReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
                  TimePoint sentAt, bool fenced, TimePoint now)
 {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -115,6 +115,12 @@
 void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
                 TimePoint lastPresentAt, TimePoint now);
 
+/// Takes over from the previous holder that a waiting task ran before. @p run is the number of its
+/// last run, and @p downSince when that was last known to be present. Does nothing if the task is
+/// unknown, of an ended job, or has a run.
+void inheritDowntime(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run,
+                     TimePoint downSince);
+
 /// Applies the report of a host. @p sentAt is the time at which the lease renewal was sent.
 /// @p fenced says whether the renewal carried the newest fencing token for the host, so that orders
 /// sent before it can no longer take effect.
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -691,8 +691,7 @@
 
 // Guards against a long-running task that stays away because its downtime counts from the change of
 // the holder. Issue 30.
-TEST_CASE(
-    "the downtime of a restart counts from the last lease of a host that a holder handed over")
+TEST_CASE("the downtime of a restart goes on over a change of the holder")
 {
     Dispatcher dispatcher;
     addHost(dispatcher, "h1", 2000);
@@ -703,6 +702,11 @@
     add(dispatcher, lost, at(5000));
     add(dispatcher, job("short", {step(1, 2000)}), at(5000));
     std::string first;
+    SUBCASE("declared lost by the previous holder")
+    {
+        inheritDowntime(dispatcher, key("lost"), 7, at(1000));
+        first = "lost";
+    }
     SUBCASE("granted long ago")
     {
         inheritRun(dispatcher, {"h1"}, key("lost"), 7, at(1000), at(5000));
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -1636,6 +1636,32 @@
     CHECK(cluster.startCount("j") == 2);
 }
 
+// Guards against a restart that comes after tasks that never ran, and late, because the holder
+// changed while the task was down. Issue 30.
+TEST_CASE("after a planned stop the next holder knows how long a long-running task has been down")
+{
+    Cluster cluster(1);
+    cluster.startHolder(1);
+    JobSpec job = oneTaskJob("j");
+    job.steps[0].longRunning = true;
+    cluster.submit(job);
+    REQUIRE(cluster.waitUntilRunning("j"));
+    cluster.silenceHost("h0", true);
+    const TimePoint goneAt = bootClockNow();
+    const auto taskOfHolder = [&cluster](int epoch) {
+        return findTask(cluster.holders[epoch]->dispatcher().fleet, taskOf("j"));
+    };
+    REQUIRE(eventually(cluster.loop, [&] { return taskOfHolder(1)->phase == TaskPhase::Waiting; }));
+    std::this_thread::sleep_for(milliseconds(300));
+    cluster.stopHolderAsPlanned(1);
+    cluster.startHolder(2);
+    REQUIRE(eventually(cluster.loop, [&] {
+        const TaskRuntime *const task = taskOfHolder(2);
+        return task != nullptr && task->phase == TaskPhase::Waiting && task->run == 1;
+    }));
+    cluster.runOnLoop([&] { CHECK(taskOfHolder(2)->downSince < goneAt + milliseconds(100)); });
+}
+
 // Guards against one silent host that holds up the tasks of all jobs under a new holder.
 TEST_CASE("after a planned stop only the tasks of a silent host wait for its lease")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -135,6 +135,7 @@
     void openLinks();
     bool isUnknown(const HostId &id) const;
     internal::LeaseRecord leaseRecord(bool stopped, TimePoint now) const;
+    std::map<TaskKey, internal::DownTask> downTasks(TimePoint now) const;
     std::map<HostId, Endpoint> rosterHosts() const;
     void writeRoster();
     void writeLastLeases(std::function<void()> done);
@@ -208,6 +209,8 @@
     /// Hosts of the roster that the previous holder stored. The runs of each are moved to the
     /// dispatcher once both tables have been read.
     std::map<HostId, InheritedHost> inheritedHosts;
+    /// Tasks of the previous holder's lease record that are down, moved to the dispatcher likewise.
+    std::map<TaskKey, internal::DownTask> inheritedDownTasks;
     /// Whether that has been done.
     bool runsInherited = false;
     TimePoint startedAt = bootClockNow();
@@ -466,9 +469,34 @@
             lease.runs = host->second.runs;
         }
     }
+    if (stopped) {
+        record.downTasks = downTasks(now);
+    }
     return record;
 }
 
+/// Returns the long-running tasks that ran before and wait.
+std::map<TaskKey, internal::DownTask> FleetHolder::Impl::downTasks(TimePoint now) const
+{
+    std::map<TaskKey, internal::DownTask> result;
+    for (const JobRuntime *const job : dispatcher.fleet.liveJobs) {
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+            if (!job->spec.steps[step].longRunning || job->steps[step].waiting == 0) {
+                continue;
+            }
+            const std::vector<TaskRuntime> &tasks = job->steps[step].tasks;
+            for (std::uint32_t n = 0; n < tasks.size(); ++n) {
+                if (tasks[n].phase == TaskPhase::Waiting && tasks[n].run > 0) {
+                    result[{.job = job->spec.id, .step = step, .index = n}] = {
+                        .run = tasks[n].run,
+                        .down = std::chrono::duration_cast<milliseconds>(now - tasks[n].downSince)};
+                }
+            }
+        }
+    }
+    return result;
+}
+
 /// Stores for the next holder which runs may be on which hosts and until when, so that it need not
 /// wait for hosts that are gone.
 void FleetHolder::Impl::writeLastLeases(std::function<void()> done)
@@ -567,6 +595,9 @@
                   {"hosts", std::to_string(inheritedHosts.size())},
                   {"hosts_with_unknown_runs", std::to_string(unknown)}});
     }
+    if (usable) {
+        inheritedDownTasks = record.downTasks;
+    }
     inheritRuns(now);
     openLinks();
 }
@@ -591,6 +622,11 @@
             inherited.runs->clear();
         }
     }
+    for (const auto &[task, state] : inheritedDownTasks) {
+        inheritDowntime(dispatcher, task, state.run,
+                        std::min(options.previousStoppedAt - state.down, now));
+    }
+    inheritedDownTasks.clear();
 }
 
 /// Opens links, and so grants leases, only to hosts in the stored roster, where a later holder
--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -14,11 +14,27 @@
 /// Upper bound of the fields of a row around its hosts.
 constexpr std::size_t rowOverhead = 100;
 
+json encodeTask(const TaskKey &task)
+{
+    return {task.job.value, task.occurrence, task.step, task.index};
+}
+
+/// Throws json::exception.
+TaskKey decodeTask(const json &entry)
+{
+    return {.job = {entry.at(0).get<std::string>()},
+            .occurrence = entry.at(1).get<std::uint32_t>(),
+            .step = entry.at(2).get<std::uint32_t>(),
+            .index = entry.at(3).get<std::uint32_t>()};
+}
+
 json encodeRuns(const HostRuns &runs)
 {
     json list = json::array();
     for (const auto &[task, run] : runs) {
-        list.push_back({task.job.value, task.occurrence, task.step, task.index, run});
+        json entry = encodeTask(task);
+        entry.push_back(run);
+        list.push_back(std::move(entry));
     }
     return list;
 }
@@ -28,11 +44,7 @@
 {
     HostRuns runs;
     for (const json &entry : list) {
-        const TaskKey task{.job = {entry.at(0).get<std::string>()},
-                           .occurrence = entry.at(1).get<std::uint32_t>(),
-                           .step = entry.at(2).get<std::uint32_t>(),
-                           .index = entry.at(3).get<std::uint32_t>()};
-        runs[task] = entry.at(4).get<std::uint64_t>();
+        runs[decodeTask(entry)] = entry.at(4).get<std::uint64_t>();
     }
     return runs;
 }
@@ -59,6 +71,34 @@
     }
 }
 
+/// Returns the text of one task that is down, as a member of a JSON array.
+std::string encodeDownTask(const TaskKey &task, const DownTask &state)
+{
+    json entry = encodeTask(task);
+    entry.push_back(state.run);
+    entry.push_back(state.down.count());
+    return entry.dump();
+}
+
+/// Throws json::exception.
+void addDownTasks(const json &row, LeaseRecord &record)
+{
+    for (const json &entry : row.at("down")) {
+        record.downTasks[decodeTask(entry)] = {.run = entry.at(4).get<std::uint64_t>(),
+                                               .down =
+                                                   milliseconds(entry.at(5).get<std::int64_t>())};
+    }
+}
+
+/// Appends a member to the last of @p lists, or to a new list if the row would become too long.
+void addMember(std::vector<std::string> &lists, const std::string &text)
+{
+    if (lists.empty() || lists.back().size() + text.size() + rowOverhead > maxJobRowBytes) {
+        lists.emplace_back();
+    }
+    lists.back() += (lists.back().empty() ? "" : ",") + text;
+}
+
 } // namespace
 
 std::vector<std::string> encodeLeases(const LeaseRecord &record, std::size_t maxBytes)
@@ -71,18 +111,27 @@
             text = encodeHost(id, {.remaining = lease.remaining});
         }
         total += text.size();
-        if (lists.back().size() + text.size() + rowOverhead > maxJobRowBytes) {
-            lists.emplace_back();
+        addMember(lists, text);
+    }
+    std::vector<std::string> downLists;
+    for (const auto &[task, state] : record.downTasks) {
+        const std::string text = encodeDownTask(task, state);
+        if (total + text.size() <= maxBytes) {
+            total += text.size();
+            addMember(downLists, text);
         }
-        lists.back() += (lists.back().empty() ? "" : ",") + text;
     }
+    const json fields{{"epoch", record.epoch},
+                      {"stopped", record.stopped},
+                      {"rows", lists.size() + downLists.size()}};
+    std::string start = fields.dump();
+    start.pop_back();
     std::vector<std::string> rows;
     for (const std::string &hosts : lists) {
-        const json fields{
-            {"epoch", record.epoch}, {"stopped", record.stopped}, {"rows", lists.size()}};
-        std::string row = fields.dump();
-        row.pop_back();
-        rows.push_back(row + ",\"hosts\":{" + hosts + "}}");
+        rows.push_back(start + R"(,"hosts":{)" + hosts + "}}");
+    }
+    for (const std::string &tasks : downLists) {
+        rows.push_back(start + R"(,"down":[)" + tasks + "]}");
     }
     return rows;
 }
@@ -98,7 +147,11 @@
             if (row.at("rows").get<std::size_t>() != rows.size()) {
                 return failure(ResultCode::CorruptSnapshot, "a row is missing", "lease record");
             }
-            addHosts(row, record);
+            if (row.contains("down")) {
+                addDownTasks(row, record);
+            } else {
+                addHosts(row, record);
+            }
         }
         return record;
     } catch (const json::exception &e) {
--- a/packages/fleet/internal/leaserecord.h
+++ b/packages/fleet/internal/leaserecord.h
@@ -26,6 +26,17 @@
     std::optional<HostRuns> runs;
 };
 
+/// A long-running task that ran before and waits.
+struct DownTask
+{
+    /// Number of its last run.
+    std::uint64_t run = 0;
+    /// Time since that run was last known to be present, counted to when the record was made.
+    milliseconds down{0};
+
+    friend bool operator==(const DownTask &, const DownTask &) = default;
+};
+
 /// Leases that a holder leaves to the next one. Without it the next holder has to assume that each
 /// host got a whole lease at the last moment and may run any task.
 struct LeaseRecord
@@ -36,10 +47,13 @@
     /// only the hosts are listed whose leases the holder does not extend.
     bool stopped = false;
     std::map<HostId, HostLease> hosts;
+    /// Long-running tasks that wait to be restarted; only if the holder had stopped.
+    std::map<TaskKey, DownTask> downTasks;
 };
 
 /// Returns the values of the rows that contain @p record, each with at most maxJobRowBytes. Leaves
-/// out the runs of hosts for which @p maxBytes do not suffice. Thread-safe.
+/// out the runs of hosts, and tasks that are down, for which @p maxBytes do not suffice.
+/// Thread-safe.
 std::vector<std::string> encodeLeases(const LeaseRecord &record, std::size_t maxBytes);
 
 /// Decodes the values of encodeLeases() in any order. Errors: CorruptSnapshot, also if a row is
--- a/packages/fleet/leaserecord_test.cpp
+++ b/packages/fleet/leaserecord_test.cpp
@@ -25,6 +25,8 @@
             runs[{.job = {"job-" + std::to_string(n)}, .step = 1, .index = index}] = 600'001;
         }
         record.hosts[{"h" + std::to_string(n)}] = {.remaining = milliseconds(n), .runs = runs};
+        record.downTasks[{.job = {"down"}, .index = static_cast<std::uint32_t>(n)}] = {
+            .run = 600'002, .down = milliseconds(n)};
     }
     return record;
 }
@@ -49,6 +51,7 @@
         CHECK(decoded->hosts.at(id).remaining == lease.remaining);
         CHECK(decoded->hosts.at(id).runs == lease.runs);
     }
+    CHECK(decoded->downTasks == record.downTasks);
 }
 
 // A host that is missing counts as one without a lease.
@@ -67,6 +70,7 @@
     CHECK(decoded->hosts.size() == record.hosts.size());
     CHECK(decoded->hosts.at({"h0"}).runs);
     CHECK_FALSE(decoded->hosts.at({"h999"}).runs);
+    CHECK(decoded->downTasks.empty());
 }
 
 TEST_CASE("a lease record without rows is empty")
