Replace the holder in the simulated fleet while hosts are lost

What: simulateFleet() can stop the holder at given times. The next one takes the jobs, the hosts and, through inheritRun(), the runs over; answers to the previous holder do not reach it. Double starts are counted. A case of restart_test loses hosts at 13 s and replaces the holder at 14 and 17 s.

No simulation changed the holder.

--- a/packages/dispatch/fleetsimulation.cpp
+++ b/packages/dispatch/fleetsimulation.cpp
@@ -65,6 +65,10 @@
 constexpr Duration renewalTimeout = milliseconds(900);
 constexpr Duration leaseExpiresAfter = milliseconds(6200);
 
+/// Time from a planned stop of the holder until its successor has read the jobs and the runs.
+constexpr Duration takeoverTime = milliseconds(500);
+constexpr std::uint64_t runsPerHolder = 100000;
+
 /// Time between samples of the hosts' true state.
 constexpr Duration sampleInterval = milliseconds(500);
 
@@ -124,7 +128,11 @@
     std::priority_queue<Event, std::vector<Event>, IsLater> events;
     std::uint64_t eventCount = 0;
     Dispatcher dispatcher;
+    /// Number of changes of the holder so far.
+    std::uint64_t holder = 0;
     TimePoint holderPausedUntil;
+    /// When the current holder begins to work.
+    TimePoint takenOverAt = simulationStart;
     bool planScheduled = false;
     bool writing = false;
     std::optional<TimePoint> flushDue;
@@ -150,6 +158,16 @@
     sim.events.push({sim.now + delay, ++sim.eventCount, true, std::move(run)});
 }
 
+/// Posts what only the current holder does or learns; its successor does not.
+void postToCurrentHolder(Simulation &sim, Duration delay, std::function<void()> run)
+{
+    postToHolder(sim, delay, [&sim, holder = sim.holder, run = std::move(run)] {
+        if (holder == sim.holder) {
+            run();
+        }
+    });
+}
+
 Duration drawNetworkDelay(Simulation &sim)
 {
     return minNetworkDelay + exponential(sim.random, meanExtraNetworkDelay);
@@ -182,7 +200,7 @@
         return;
     }
     // The host would answer at once with the same run ends, which are still being stored.
-    postToHolder(sim, renewalRetryDelay, [&sim, id = host.id, renewals = host.renewals] {
+    postToCurrentHolder(sim, renewalRetryDelay, [&sim, id = host.id, renewals = host.renewals] {
         SimulatedHost *const later = findRespondingHost(sim, id);
         if (later != nullptr && !later->renewing && later->renewals == renewals) {
             sendRenewal(sim, *later, Duration(0));
@@ -202,7 +220,7 @@
     sim.writing = true;
     const Duration writeDuration =
         writes ? minWriteTime + exponential(sim.random, meanExtraWriteTime) : Duration(0);
-    postToHolder(sim, writeDuration, [&sim, ends] {
+    postToCurrentHolder(sim, writeDuration, [&sim, ends] {
         sim.writing = false;
         for (const auto &[id, number] : ends) {
             if (FleetHost *const host = findHost(sim.dispatcher.fleet, id)) {
@@ -237,7 +255,7 @@
         return;
     }
     sim.flushDue = due;
-    postToHolder(sim, delay, [&sim, due] {
+    postToCurrentHolder(sim, delay, [&sim, due] {
         if (sim.flushDue == due) {
             sim.flushDue.reset();
             flush(sim);
@@ -276,16 +294,18 @@
 {
     host.waitsForEnds = false;
     ++host.renewals;
-    postToHolder(sim, drawNetworkDelay(sim), [&sim, id = host.id, report = reportOf(sim, host)] {
+    const auto apply = [&sim, id = host.id, report = reportOf(sim, host)] {
         SimulatedHost *const later = findRespondingHost(sim, id);
         if (later == nullptr) {
             return;
         }
         later->renewing = false;
+        findHost(sim.dispatcher.fleet, id)->reachable = true;
         applyReport(sim.dispatcher, id, report, later->renewalSentAt, true, sim.now);
         scheduleFollowUps(sim);
         startNextRenewal(sim, *later);
-    });
+    };
+    postToCurrentHolder(sim, drawNetworkDelay(sim), apply);
 }
 
 void sendRenewal(Simulation &sim, SimulatedHost &host, Duration wait)
@@ -293,9 +313,9 @@
     host.renewing = true;
     host.renewalSentAt = sim.now;
     const std::uint64_t acknowledged = findHost(sim.dispatcher.fleet, host.id)->lastDurableEnd;
-    post(sim, drawNetworkDelay(sim), [&sim, id = host.id, wait, acknowledged] {
+    const auto deliver = [&sim, id = host.id, wait, acknowledged, holder = sim.holder] {
         SimulatedHost *const later = findRespondingHost(sim, id);
-        if (later == nullptr) {
+        if (later == nullptr || holder != sim.holder) {
             return;
         }
         std::erase_if(later->ended, [acknowledged](const ReportedRunEnd &end) {
@@ -312,7 +332,8 @@
                 answerRenewal(sim, *waiting);
             }
         });
-    });
+    };
+    post(sim, drawNetworkDelay(sim), deliver);
 }
 
 void endRun(Simulation &sim, const HostId &id, const TaskKey &task, std::uint64_t run, RunEnd end)
@@ -342,6 +363,9 @@
                            .size = committedSize(step),
                            .startedAt = sim.now,
                            .length = drawRunTime(sim.random, job, order.task.step)};
+    for (const auto &[id, other] : sim.hosts) {
+        sim.result.doubleStarts += !other.unresponsive && other.runs.contains(order.task) ? 1 : 0;
+    }
     host.runs.insert_or_assign(order.task, run);
     host.used = host.used + run.size;
     ++sim.result.starts;
@@ -366,16 +390,19 @@
 
 void sendStart(Simulation &sim, const StartRun &order)
 {
-    post(sim, drawNetworkDelay(sim), [&sim, order] {
+    post(sim, drawNetworkDelay(sim), [&sim, order, holder = sim.holder] {
         SimulatedHost *const host = findRespondingHost(sim, order.host);
         const bool arrived = host != nullptr;
         if (arrived) {
             beginRun(sim, *host, order);
         }
-        postToHolder(sim, arrived ? drawNetworkDelay(sim) : startTimeout, [&sim, order, arrived] {
+        const auto learn = [&sim, order, arrived] {
             applyStartOutcome(sim.dispatcher, order,
                               arrived ? StartOutcome::Started : StartOutcome::Unknown, sim.now);
-        });
+        };
+        if (holder == sim.holder) {
+            postToCurrentHolder(sim, arrived ? drawNetworkDelay(sim) : startTimeout, learn);
+        }
     });
 }
 
@@ -401,7 +428,7 @@
     if (std::exchange(sim.planScheduled, true)) {
         return;
     }
-    postToHolder(sim, planDelay, [&sim] {
+    postToCurrentHolder(sim, planDelay, [&sim] {
         sim.planScheduled = false;
         planNow(sim);
     });
@@ -508,6 +535,41 @@
     }
 }
 
+/// Replaces the holder by one that takes over the jobs, the hosts and the runs that it ordered.
+void replaceHolder(Simulation &sim)
+{
+    const Dispatcher previous = std::exchange(sim.dispatcher, {});
+    ++sim.holder;
+    sim.planScheduled = false;
+    sim.writing = false;
+    sim.flushDue.reset();
+    sim.takenOverAt = sim.now + takeoverTime;
+    sim.dispatcher.fleet.runNumberBase = sim.holder * runsPerHolder;
+    for (const auto &[id, job] : previous.fleet.jobs) {
+        addJob(sim.dispatcher, job->spec, job->progress, job->progressVersion, false, sim.now);
+        if (sim.jobs.at(id).cancelled) {
+            cancelJob(sim.dispatcher, id, sim.now);
+        }
+    }
+    for (const auto &[id, host] : previous.fleet.hosts) {
+        sim.dispatcher.fleet.hosts[id] = {
+            .id = id, .service = host.service, .capacity = host.capacity, .listed = true};
+        for (const auto &[task, run] : host.runs) {
+            inheritRun(sim.dispatcher, id, task, run, sim.now);
+        }
+    }
+    for (auto &[id, host] : sim.hosts) {
+        host.renewing = false;
+        host.waitsForEnds = false;
+        ++host.renewals;
+    }
+    postToCurrentHolder(sim, takeoverTime, [&sim] {
+        for (auto &[id, host] : sim.hosts) {
+            startNextRenewal(sim, host);
+        }
+    });
+}
+
 int truePlaces(const Simulation &sim, const TaskKey &task, const StepSpec &step)
 {
     int n = 0;
@@ -547,8 +609,9 @@
         Event event = sim.events.top();
         sim.events.pop();
         sim.now = event.at;
-        if (event.atHolder && sim.now < sim.holderPausedUntil) {
-            event.at = sim.holderPausedUntil;
+        const TimePoint holderWorksAt = std::max(sim.holderPausedUntil, sim.takenOverAt);
+        if (event.atHolder && sim.now < holderWorksAt) {
+            event.at = holderWorksAt;
             sim.events.push(std::move(event));
             continue;
         }
@@ -589,6 +652,9 @@
     for (const Outage &outage : options.outages) {
         post(sim, outage.at, [&sim, &outage] { beginOutage(sim, outage); });
     }
+    for (const Duration at : options.holderStops) {
+        post(sim, at, [&sim] { replaceHolder(sim); });
+    }
     scheduleHolderPauses(sim);
     scheduleSamples(sim);
     runUntil(sim, simulationStart + options.length);
--- a/packages/dispatch/fleetsimulation.h
+++ b/packages/dispatch/fleetsimulation.h
@@ -28,6 +28,9 @@
     Duration length = std::chrono::seconds(48);
     std::vector<Outage> outages = {
         {.at = std::chrono::seconds(13), .share = 0.25, .length = std::chrono::seconds(4)}};
+    /// Times of planned stops of the holder. Its successor knows the jobs and the runs that the
+    /// previous holder left.
+    std::vector<Duration> holderStops;
     /// Arrival rate of batch jobs as a share of the modelled site's rate.
     double batchShare = 0.5;
     /// Whether some runs fail although their host is healthy.
@@ -39,6 +42,8 @@
     std::vector<LateRestart> lateRestarts;
     /// Starts after which the runs on a host exceeded its capacity.
     int overCommitments = 0;
+    /// Starts of a task while another run of it was active on a host that answers.
+    int doubleStarts = 0;
     /// Longest downtime of a long-running task whose host was lost.
     Duration longestDowntime{0};
     /// Mean wait of urgent tasks for their first start.
--- a/packages/dispatch/restart_test.cpp
+++ b/packages/dispatch/restart_test.cpp
@@ -37,3 +37,23 @@
         CHECK(result.overCommitments == 0);
     }
 }
+
+// Guards against a new holder that waits for a whole lease anew for a host that is gone.
+TEST_CASE("a long-running task restarts in time if the holder is replaced twice after its host was "
+          "lost")
+{
+    using std::chrono::seconds;
+    for (const std::uint64_t seed : seeds()) {
+        CAPTURE(seed);
+        const FleetSimulationResult result =
+            simulateFleet({.seed = seed,
+                           .outages = {{.at = seconds(13), .share = 0.25, .length = seconds(2)}},
+                           .holderStops = {seconds(14), seconds(17)}});
+        MESSAGE(describe(result));
+        for (const LateRestart &late : result.lateRestarts) {
+            FAIL_CHECK(describe(late));
+        }
+        CHECK(result.overCommitments == 0);
+        CHECK(result.doubleStarts == 0);
+    }
+}
