--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -82,7 +82,8 @@
             {"epoch", record.epoch}, {"stopped", record.stopped}, {"rows", lists.size()}};
         std::string row = fields.dump();
         row.pop_back();
-        rows.push_back(row + ",\"hosts\":{" + hosts + "}}");
+        row.append(",\"hosts\":{").append(hosts).append("}}");
+        rows.push_back(std::move(row));
     }
     return rows;
 }
