--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -133,7 +133,9 @@
                           {"rows", texts.size()}};
         std::string row = fields.dump();
         row.pop_back();
-        rows.push_back(row + ",\"hosts\":{" + text.hosts + "},\"waiting\":[" + text.waiting + "]}");
+        row.append(",\"hosts\":{").append(text.hosts).append("},\"waiting\":[");
+        row.append(text.waiting).append("]}");
+        rows.push_back(std::move(row));
     }
     return rows;
 }
