Hand the waits of restarts over to the next holder

Cause: a holder restarts a long-running task before short ones once it has waited for 2.5 s, and at any price after 4.5 s, but only if it knows that the task ran before.

Change: the lease record also lists long-running tasks that wait to run again, with the number of the last run and the time waited. The next holder counts on from there. It is a hint only: run numbers still decide what is adopted, and the wait for hosts of unknown runs is as before.

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -625,6 +625,40 @@
     updateQueueCounts(dispatcher.fleet, *job, [job] { job->startOrdered = true; });
 }
 
+std::map<TaskKey, RestartWait> waitingRestarts(const Dispatcher &dispatcher, TimePoint now)
+{
+    std::map<TaskKey, RestartWait> waits;
+    for (const JobRuntime *const job : dispatcher.fleet.liveJobs) {
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+            if (!job->spec.steps[step].longRunning || job->steps[step].waiting == 0) {
+                continue;
+            }
+            const std::vector<TaskRuntime> &tasks = job->steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].phase == TaskPhase::Waiting && tasks[index].run > 0) {
+                    const auto waited =
+                        std::chrono::duration_cast<milliseconds>(now - tasks[index].phaseSince);
+                    waits[{.job = job->spec.id, .step = step, .index = index}] = {
+                        .run = tasks[index].run, .waited = waited};
+                }
+            }
+        }
+    }
+    return waits;
+}
+
+void inheritWait(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run, TimePoint since)
+{
+    const JobRuntime *const job = findJob(dispatcher.fleet, key.job);
+    TaskRuntime *const task = findTask(dispatcher.fleet, key);
+    if (job == nullptr || task == nullptr || isTerminal(job->progress.outcome)
+        || task->phase != TaskPhase::Waiting || run <= task->run) {
+        return;
+    }
+    task->run = run;
+    task->phaseSince = since;
+}
+
 void applyReport(Dispatcher &dispatcher, const HostId &host, const HostReport &report,
                  TimePoint sentAt, bool fenced, TimePoint now)
 {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -113,6 +113,22 @@
 void inheritRun(Dispatcher &dispatcher, const HostId &host, const TaskKey &key, std::uint64_t run,
                 TimePoint now);
 
+/// A long-running task that ran before and waits to run again.
+struct RestartWait
+{
+    /// Number of its last run.
+    std::uint64_t run = 0;
+    milliseconds waited{0};
+    bool operator==(const RestartWait &) const = default;
+};
+
+/// Returns the long-running tasks that ran before and wait to run again.
+std::map<TaskKey, RestartWait> waitingRestarts(const Dispatcher &dispatcher, TimePoint now);
+
+/// Takes over a wait that began under the previous holder at @p since. Does nothing if the task is
+/// unknown, of an ended job, or not waiting.
+void inheritWait(Dispatcher &dispatcher, const TaskKey &key, std::uint64_t run, TimePoint since);
+
 /// Applies the report of a host. @p sentAt is the time at which the lease renewal was sent.
 /// @p fenced says whether the renewal carried the newest fencing token for the host, so that orders
 /// sent before it can no longer take effect.
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -646,6 +646,33 @@
     CHECK(orders.starts[0].task.job.value == "lost");
 }
 
+// Guards against a restart whose wait starts anew with each change of the holder. Issue 30.
+TEST_CASE("a restart that waited under the previous holder is urgent in time")
+{
+    Dispatcher previous;
+    addHost(previous, "h1", 2000);
+    JobSpec lost = job("lost", {step(1, 2000)});
+    lost.steps[0].longRunning = true;
+    add(previous, lost, at(0));
+    REQUIRE(startAll(previous, at(10)).starts.size() == 1);
+    CHECK(waitingRestarts(previous, at(50)).empty());
+    declareRunsLost(previous, {"h1"}, "the host does not answer", at(100));
+
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h2", 2000);
+    add(dispatcher, lost, at(3000));
+    const auto waits = waitingRestarts(previous, at(3000));
+    REQUIRE(waits.size() == 1);
+    for (const auto &[task, wait] : waits) {
+        inheritWait(dispatcher, task, wait.run, at(3000) - wait.waited);
+    }
+    add(dispatcher, job("short", {step(1, 2000)}), at(4900));
+    const Orders orders = plan(dispatcher, at(5000));
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].task.job.value == "lost");
+    CHECK(orders.starts[0].waited == milliseconds(4900));
+}
+
 // Guards against starting tasks that may still be running on a host that has not reported.
 TEST_CASE("tasks of a recovered job wait until the recovery ends")
 {
--- a/packages/dispatch/fleetsimulation.cpp
+++ b/packages/dispatch/fleetsimulation.cpp
@@ -558,6 +558,9 @@
             inheritRun(sim.dispatcher, id, task, run, sim.now);
         }
     }
+    for (const auto &[task, wait] : waitingRestarts(previous, sim.now)) {
+        inheritWait(sim.dispatcher, task, wait.run, sim.now - wait.waited);
+    }
     for (auto &[id, host] : sim.hosts) {
         host.renewing = false;
         host.waitsForEnds = false;
--- a/packages/dispatch/restart_test.cpp
+++ b/packages/dispatch/restart_test.cpp
@@ -14,7 +14,7 @@
 {
     const char *const count = std::getenv("RESTART_SEEDS");
     if (count == nullptr) {
-        return {4, 18, 30};
+        return {4, 18, 30, 44};
     }
     std::vector<std::uint64_t> result(std::strtoul(count, nullptr, 10));
     std::iota(result.begin(), result.end(), 1);
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -448,6 +448,7 @@
     if (!runsInherited) {
         return record;
     }
+    record.waits = waitingRestarts(dispatcher, now);
     const bool progressDurable = dispatcher.fleet.dirty.empty();
     for (const auto &[id, link] : links) {
         const auto host = dispatcher.fleet.hosts.find(id);
@@ -588,6 +589,12 @@
             inherited.runs->clear();
         }
     }
+    const internal::LeaseRecord &record = roster.inheritedLeases();
+    if (record.epoch + 1 == options.epoch) {
+        for (const auto &[task, wait] : record.waits) {
+            inheritWait(dispatcher, task, wait.run, options.previousStoppedAt - wait.waited);
+        }
+    }
 }
 
 /// Opens links, and so grants leases, only to hosts in the stored roster, where a later holder
--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -23,16 +23,38 @@
     return list;
 }
 
+/// Throws json::exception.
+TaskKey decodeTask(const json &entry)
+{
+    return {.job = {entry.at(0).get<std::string>()},
+            .occurrence = entry.at(1).get<std::uint32_t>(),
+            .step = entry.at(2).get<std::uint32_t>(),
+            .index = entry.at(3).get<std::uint32_t>()};
+}
+
+/// Returns the waits of which the text has at most @p maxBytes.
+json encodeWaits(const std::map<TaskKey, RestartWait> &waits, std::size_t maxBytes)
+{
+    json list = json::array();
+    std::size_t total = 0;
+    for (const auto &[task, wait] : waits) {
+        json entry = {task.job.value, task.occurrence, task.step,
+                      task.index,     wait.run,        wait.waited.count()};
+        total += entry.dump().size() + 1;
+        if (total > maxBytes) {
+            break;
+        }
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
 /// Throws json::exception.
 HostRuns decodeRuns(const json &list)
 {
     HostRuns runs;
     for (const json &entry : list) {
-        const TaskKey task{.job = {entry.at(0).get<std::string>()},
-                           .occurrence = entry.at(1).get<std::uint32_t>(),
-                           .step = entry.at(2).get<std::uint32_t>(),
-                           .index = entry.at(3).get<std::uint32_t>()};
-        runs[task] = entry.at(4).get<std::uint64_t>();
+        runs[decodeTask(entry)] = entry.at(4).get<std::uint64_t>();
     }
     return runs;
 }
@@ -59,6 +81,18 @@
     }
 }
 
+/// Throws json::exception.
+void addWaits(const json &row, LeaseRecord &record)
+{
+    if (!row.contains("waits")) {
+        return;
+    }
+    for (const json &entry : row.at("waits")) {
+        record.waits[decodeTask(entry)] = {.run = entry.at(4).get<std::uint64_t>(),
+                                           .waited = milliseconds(entry.at(5).get<std::int64_t>())};
+    }
+}
+
 } // namespace
 
 std::vector<std::string> encodeLeases(const LeaseRecord &record, std::size_t maxBytes)
@@ -76,10 +110,18 @@
         }
         lists.back() += (lists.back().empty() ? "" : ",") + text;
     }
+    const json waits = encodeWaits(
+        record.waits, std::min(maxBytes - std::min(total, maxBytes), maxJobRowBytes - rowOverhead));
+    if (!waits.empty()
+        && lists.back().size() + waits.dump().size() + rowOverhead > maxJobRowBytes) {
+        lists.emplace_back();
+    }
     std::vector<std::string> rows;
     for (const std::string &hosts : lists) {
-        const json fields{
-            {"epoch", record.epoch}, {"stopped", record.stopped}, {"rows", lists.size()}};
+        json fields{{"epoch", record.epoch}, {"stopped", record.stopped}, {"rows", lists.size()}};
+        if (!waits.empty() && &hosts == &lists.back()) {
+            fields["waits"] = waits;
+        }
         std::string row = fields.dump();
         row.pop_back();
         row.append(",\"hosts\":{").append(hosts).append("}}");
@@ -100,6 +142,7 @@
                 return failure(ResultCode::CorruptSnapshot, "a row is missing", "lease record");
             }
             addHosts(row, record);
+            addWaits(row, record);
         }
         return record;
     } catch (const json::exception &e) {
--- a/packages/fleet/internal/leaserecord.h
+++ b/packages/fleet/internal/leaserecord.h
@@ -4,7 +4,7 @@
 #include "base/error.h"
 #include "base/identifier.h"
 #include "base/time.h"
-#include "dispatch/taskrun.h"
+#include "dispatch/dispatcher.h"
 
 #include <cstdint>
 #include <map>
@@ -36,10 +36,12 @@
     /// only the hosts are listed whose leases the holder does not extend.
     bool stopped = false;
     std::map<HostId, HostLease> hosts;
+    /// Long-running tasks that wait to run again.
+    std::map<TaskKey, RestartWait> waits;
 };
 
 /// Returns the values of the rows that contain @p record, each with at most maxJobRowBytes. Leaves
-/// out the runs of hosts for which @p maxBytes do not suffice. Thread-safe.
+/// out the runs of hosts, and waits, for which @p maxBytes do not suffice. Thread-safe.
 std::vector<std::string> encodeLeases(const LeaseRecord &record, std::size_t maxBytes);
 
 /// Decodes the values of encodeLeases() in any order. Errors: CorruptSnapshot, also if a row is
--- a/packages/fleet/leaserecord_test.cpp
+++ b/packages/fleet/leaserecord_test.cpp
@@ -32,7 +32,10 @@
 
 TEST_CASE("a lease record is decoded as it was encoded, over several rows")
 {
-    const LeaseRecord record = recordOf(1000);
+    LeaseRecord record = recordOf(1000);
+    for (std::uint32_t index = 0; index < 300; ++index) {
+        record.waits[{.job = {"job"}, .index = index}] = {.run = 3, .waited = milliseconds(index)};
+    }
     std::vector<std::string> rows = encodeLeases(record, noLimit);
     CHECK(rows.size() > 1);
     for (const std::string &row : rows) {
@@ -43,6 +46,7 @@
     REQUIRE(decoded);
     CHECK(decoded->epoch == record.epoch);
     CHECK(decoded->stopped);
+    CHECK(decoded->waits == record.waits);
     REQUIRE(decoded->hosts.size() == record.hosts.size());
     for (const auto &[id, lease] : record.hosts) {
         CHECK(decoded->hosts.at(id).remaining == lease.remaining);
