--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 namespace acaciadeal::internal {
@@ -127,11 +128,19 @@
     std::string start = fields.dump();
     start.pop_back();
     std::vector<std::string> rows;
+    rows.reserve(lists.size() + downLists.size());
+    const auto addRow = [&](std::string_view open, std::string_view list, std::string_view close) {
+        std::string row = start;
+        row += open;
+        row += list;
+        row += close;
+        rows.push_back(std::move(row));
+    };
     for (const std::string &hosts : lists) {
-        rows.push_back(start + R"(,"hosts":{)" + hosts + "}}");
+        addRow(R"(,"hosts":{)", hosts, "}}");
     }
     for (const std::string &tasks : downLists) {
-        rows.push_back(start + R"(,"down":[)" + tasks + "]}");
+        addRow(R"(,"down":[)", tasks, "]}");
     }
     return rows;
 }
--- a/packages/fleet/leaserecord_test.cpp
+++ b/packages/fleet/leaserecord_test.cpp
@@ -7,7 +7,6 @@
 using namespace acaciadeal;
 using internal::decodeLeases;
 using internal::encodeLeases;
-using internal::HostLease;
 using internal::HostRuns;
 using internal::LeaseRecord;
 
