Bound the writes of the lease record while many hosts go at once

That the lease record is the cause is not shown.

Each write of the lease record contained the list of all hosts, and while hosts went on failing one was sent with each tick. Now the list is written only if it has changed, the time between two records grows with the number of runs in them, and the check of recorded tasks is made for tasks that ran before only.

--- a/packages/dispatch/fleetstate.cpp
+++ b/packages/dispatch/fleetstate.cpp
@@ -60,7 +60,8 @@
 bool isHeldBack(const FleetState &fleet, const JobRuntime &job, const TaskKey &key,
                 const TaskRuntime &task)
 {
-    return (job.inRecovery && !task.accountedFor) || fleet.recordedTasks.contains(key);
+    return (job.inRecovery && !task.accountedFor)
+           || (task.run > 0 && fleet.recordedTasks.contains(key));
 }
 
 JobState stateOf(const JobRuntime &job)
--- a/packages/dispatch/waitreason_test.cpp
+++ b/packages/dispatch/waitreason_test.cpp
@@ -82,6 +82,7 @@
     }
     SUBCASE("the stored lease record lists the task's last run")
     {
+        fleet.job().steps[0].tasks[0].run = 1;
         fleet.dispatcher.fleet.recordedTasks.insert({.job = fleet.job().spec.id});
         CHECK(fleet.explain(at(100)).rule == WaitRule::LeaseRecord);
     }
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -30,6 +30,11 @@
 /// After this many failed renewals in a row, the stored lease record says that the lease of the
 /// host is not extended. A single lost answer does not cost a write to the store.
 constexpr int failuresBeforeRecord = 2;
+/// Shortest time between two writes of the lease record outside the period of the host list. Bounds
+/// the load while many hosts go at once.
+constexpr Duration minLeaseRecordPeriod = milliseconds(200);
+/// Added to that for each run in the record.
+constexpr Duration leaseRecordPeriodPerRun = std::chrono::microseconds(100);
 /// Longest time for which a holder that stops waits for the write of its lease record.
 constexpr Duration lastWriteTimeout = milliseconds(500);
 /// Wait of a renewal to a host on which nothing runs; hosts accept at most 2 s.
@@ -151,6 +156,7 @@
     internal::LeaseRecord leaseRecord(bool stopped, TimePoint now) const;
     std::map<HostId, Endpoint> rosterHosts() const;
     void writeRoster();
+    bool isLeaseRecordDue(TimePoint now) const;
     bool hasWaitingRecordedTask() const;
     void addWaitingRestarts(internal::LeaseRecord &record, TimePoint now) const;
     void writeLastLeases(std::function<void()> done);
@@ -233,6 +239,7 @@
     std::map<HostId, Endpoint> listedHosts;
     /// Whether a host has to be added to the stored lease record, or removed from it.
     bool leaseRecordOld = false;
+    TimePoint leaseRecordCheckedAt;
     /// During recovery: since when the runs on all hosts are known; unset while they are not.
     std::optional<TimePoint> allHostsKnownAt;
     /// When the start orders without an answer were sent, by their numbers.
@@ -425,8 +432,13 @@
     if (finishing || !roster.isRead() || roster.isWriting() || !env.mayAct()) {
         return;
     }
+    std::map<HostId, Endpoint> hosts = rosterHosts();
+    if (hosts == roster.durableHosts() && !isLeaseRecordDue(now)) {
+        return;
+    }
     leaseRecordOld = false;
-    roster.write(rosterHosts(), leaseRecord(false, now), guarded([this] {
+    leaseRecordCheckedAt = now;
+    roster.write(hosts, leaseRecord(false, now), guarded([this] {
                      dispatcher.fleet.recordedTasks = roster.recordedTasks();
                      openLinks();
                      const TimePoint now = bootClockNow();
@@ -443,6 +455,12 @@
     dispatcher.fleet.recordedTasks = roster.recordedTasks();
 }
 
+bool FleetHolder::Impl::isLeaseRecordDue(TimePoint now) const
+{
+    const auto runs = static_cast<std::int64_t>(dispatcher.fleet.recordedTasks.size());
+    return now - leaseRecordCheckedAt >= minLeaseRecordPeriod + runs * leaseRecordPeriodPerRun;
+}
+
 /// Returns whether a task in the lease record has no run any more and waits for another record.
 bool FleetHolder::Impl::hasWaitingRecordedTask() const
 {
@@ -1086,7 +1104,7 @@
                 sendRenewal(link, milliseconds(0), now);
             }
         }
-        if (leaseRecordOld || hasWaitingRecordedTask()) {
+        if (isLeaseRecordDue(now) && (leaseRecordOld || hasWaitingRecordedTask())) {
             writeRoster();
         }
         cleanUp(now);
--- a/packages/fleet/internal/roster.cpp
+++ b/packages/fleet/internal/roster.cpp
@@ -23,6 +23,12 @@
 /// The last write is repeated once if an earlier one took effect whose answer was lost.
 constexpr int lastWriteAttempts = 2;
 
+/// Key of the row that each write of the lease record replaces.
+std::string firstLeasesKey()
+{
+    return std::string(leasesKeyPrefix) + "0";
+}
+
 std::string encode(const std::map<HostId, Endpoint> &hosts)
 {
     json j = json::object();
@@ -89,6 +95,9 @@
             m_version = row.version;
         } else if (row.key.starts_with(leasesKeyPrefix)) {
             leases.push_back(row.value);
+            if (row.key == firstLeasesKey()) {
+                m_leasesVersion = row.version;
+            }
         }
     }
     m_leaseRows = leases.size();
@@ -195,9 +204,17 @@
                     std::function<void(const Result<CommitVersions> &)> done)
 {
     m_writing = true;
-    const std::string value = encode(hosts);
-    const std::vector<std::string> rows = encodeLeases(leases, maxBytesPerWrite - value.size());
-    Transaction transaction{.checks = {{rosterKey, m_version}}, .puts = {{rosterKey, value}}};
+    Transaction transaction{
+        .checks = {{rosterKey, m_version}, {firstLeasesKey(), m_leasesVersion}}};
+    std::size_t maxLeaseBytes = maxBytesPerWrite;
+    // The list of hosts is large and changes less often than the leases. The first write contains
+    // it, so that late writes of an earlier holder fail.
+    if (hosts != m_durable || !m_hostsWritten) {
+        const std::string value = encode(hosts);
+        maxLeaseBytes -= value.size();
+        transaction.puts.push_back({rosterKey, value});
+    }
+    const std::vector<std::string> rows = encodeLeases(leases, maxLeaseBytes);
     for (std::size_t n = 0; n < rows.size(); ++n) {
         transaction.puts.push_back({leasesKeyPrefix + std::to_string(n), rows[n]});
     }
@@ -211,7 +228,11 @@
                           m_writing = false;
                           if (result) {
                               m_durable = hosts;
-                              m_version = result->at(rosterKey);
+                              if (const auto it = result->find(rosterKey); it != result->end()) {
+                                  m_version = it->second;
+                                  m_hostsWritten = true;
+                              }
+                              m_leasesVersion = result->at(firstLeasesKey());
                               m_storedLeases = leases;
                               m_leasesMadeAt = madeAt;
                               m_leaseRows = rowCount;
--- a/packages/fleet/internal/roster.h
+++ b/packages/fleet/internal/roster.h
@@ -89,6 +89,10 @@
     /// Version of the stored row. Writes are conditional on it, so that a late write of an earlier
     /// holder cannot replace the row of this one.
     std::uint64_t m_version = 0;
+    /// Whether this holder has written that row.
+    bool m_hostsWritten = false;
+    /// The same as @ref m_version for the first row of the lease record.
+    std::uint64_t m_leasesVersion = 0;
 };
 
 } // namespace acaciadeal::internal
