--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -229,7 +229,8 @@
         ::listen(m_impl->listener, 0);
         m_impl->filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const sockaddr_in address = loopback(m_impl->port);
-        (void)::connect(m_impl->filler, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        (void)::connect(m_impl->filler, reinterpret_cast<const sockaddr *>(&address),
+                        sizeof(address));
     } else {
         ::listen(m_impl->listener, listenBacklog);
         ::close(m_impl->filler);
