Send each call to a host only to the incarnation that it is for

Cause: deadlines and numbers of ends in a call mean something to one incarnation of the host only, but the call named just the host's id.

Connections to the former incarnation are reset, so such calls arrive on new connections only.

Change: a new connection first carries a renewal without a lease, and the call follows on the same connection only if the answer shows the expected boot time. Idle connections to another incarnation are dropped. A start that finds the host restarted makes the holder ask it at once. Nobody waits longer; only if the first report of an incarnation lists runs, which a late call must have started, the lease counts as the longest, also over a planned change of the holder. Restarts are logged (8030) and counted.

Tests that failed with the mechanism out: three cases of fleet_test ("restarted"), and the late order without the longer count.

--- a/packages/base/event.cpp
+++ b/packages/base/event.cpp
@@ -128,6 +128,8 @@
               "A holder that stops stores which runs may be on which hosts, and until when."},
     EventInfo{EventId::RecoveryFinished, Severity::Info, "RecoveryFinished",
               "A new holder no longer waits for hosts with unknown runs."},
+    EventInfo{EventId::HostRestarted, Severity::Warning, "HostRestarted",
+              "A host has restarted under its id."},
 };
 
 } // namespace
--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -77,6 +77,7 @@
     LeasesInherited = 8027,
     LeasesHandedOver = 8028,
     RecoveryFinished = 8029,
+    HostRestarted = 8030,
 };
 
 /// Entry of the event catalogue.
--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -738,7 +738,7 @@
     task->phaseSince = waitsSince;
     // An immediate retry would likely choose the same host and be refused again.
     task->notBefore = now + (outcome == StartOutcome::Malformed ? malformedDelay : refusedDelay);
-    if (outcome != StartOutcome::NotSent) {
+    if (outcome != StartOutcome::NotSent && outcome != StartOutcome::HostRestarted) {
         task->lastFailedHost = order.host;
     }
 }
--- a/packages/dispatch/taskrun.cpp
+++ b/packages/dispatch/taskrun.cpp
@@ -46,6 +46,8 @@
         return "fenced";
     case StartOutcome::WrongInstance:
         return "wrong-instance";
+    case StartOutcome::HostRestarted:
+        return "host-restarted";
     case StartOutcome::Unhealthy:
         return "unhealthy";
     case StartOutcome::Malformed:
--- a/packages/dispatch/taskrun.h
+++ b/packages/dispatch/taskrun.h
@@ -94,6 +94,8 @@
     Fenced,
     /// The address now belongs to another incarnation of the host.
     WrongInstance,
+    /// The host has restarted since the order was made, and has not received it.
+    HostRestarted,
     /// The host is unhealthy and ignored the order.
     Unhealthy,
     /// The host could not parse the order.
--- a/packages/fleet/fakehosts.cpp
+++ b/packages/fleet/fakehosts.cpp
@@ -9,11 +9,27 @@
 namespace acaciadeal {
 namespace {
 
-milliseconds hostClock()
+milliseconds steadyClock()
 {
     return std::chrono::duration_cast<milliseconds>(bootClockNow().time_since_epoch());
 }
 
+milliseconds clockOf(const FakeHost &host)
+{
+    return steadyClock() - host.clockStart;
+}
+
+void extendLease(FakeHost &host, milliseconds until)
+{
+    host.leaseUntil = std::max(host.leaseUntil, std::min(until, clockOf(host) + host.maxLease));
+}
+
+/// Returns whether the call is for another incarnation of the host.
+bool isForOther(const HostCall &call, const FakeHost &host)
+{
+    return call.bootedAt && *call.bootedAt != host.bootedAt;
+}
+
 Error noAnswerError()
 {
     return {ResultCode::TimedOut, "no answer", "host"};
@@ -22,7 +38,7 @@
 /// Ends all active runs of @p host if its lease has expired.
 void expireLease(FakeHost &host)
 {
-    if (host.leaseUntil > hostClock()) {
+    if (host.leaseUntil > clockOf(host)) {
         return;
     }
     for (const auto &[task, run] : host.active) {
@@ -69,7 +85,7 @@
 {
     int n = 0;
     for (const auto &[id, host] : m_hosts) {
-        n += host.active.contains(task) && host.leaseUntil > hostClock() ? 1 : 0;
+        n += host.active.contains(task) && host.leaseUntil > clockOf(host) ? 1 : 0;
     }
     return n;
 }
@@ -79,6 +95,24 @@
     return m_closedClients;
 }
 
+void FakeHosts::restart(const std::string &id)
+{
+    FakeHost &host = m_hosts.at(id);
+    host.token = 0;
+    host.lastEndNumber = 0;
+    host.active.clear();
+    host.ended.clear();
+    host.leaseUntil = milliseconds(0);
+    ++host.bootedAt;
+    host.clockStart = steadyClock();
+}
+
+milliseconds FakeHosts::remainingLease(const std::string &id) const
+{
+    const FakeHost &host = m_hosts.at(id);
+    return host.leaseUntil - clockOf(host);
+}
+
 void FakeHosts::endRun(const std::string &id, const TaskKey &task, RunEnd how)
 {
     FakeHost &host = m_hosts.at(id);
@@ -118,14 +152,16 @@
         return;
     }
     host.token = call.token;
-    if (renewal.leaseUntil) {
-        host.leaseUntil = std::max(host.leaseUntil, *renewal.leaseUntil);
+    if (!isForOther(call, host)) {
+        if (renewal.leaseUntil) {
+            extendLease(host, *renewal.leaseUntil);
+        }
+        host.acknowledgements.push_back(renewal.acknowledged);
+        std::erase_if(host.ended, [&renewal](const ReportedRunEnd &ended) {
+            return ended.number <= renewal.acknowledged;
+        });
     }
-    host.acknowledgements.push_back(renewal.acknowledged);
-    std::erase_if(host.ended, [&renewal](const ReportedRunEnd &ended) {
-        return ended.number <= renewal.acknowledged;
-    });
-    HostReport report{.hostClock = hostClock(), .bootedAt = host.bootedAt, .ended = host.ended};
+    HostReport report{.hostClock = clockOf(host), .bootedAt = host.bootedAt, .ended = host.ended};
     report.complete = report.ended.size() < host.maxEndsPerReport;
     report.ended.resize(std::min(report.ended.size(), host.maxEndsPerReport));
     for (const auto &[task, run] : host.active) {
@@ -146,9 +182,11 @@
         outcome = StartOutcome::Unknown;
     } else if (call.token < host.token) {
         outcome = StartOutcome::Fenced;
+    } else if (isForOther(call, host)) {
+        outcome = StartOutcome::HostRestarted;
     } else {
         host.token = call.token;
-        host.leaseUntil = std::max(host.leaseUntil, leaseUntil);
+        extendLease(host, leaseUntil);
         host.active[order.task] = order.run;
         host.starts.emplace_back(order.task, order.run);
         outcome = host.losesStartAnswers ? StartOutcome::Unknown : StartOutcome::Started;
@@ -159,7 +197,8 @@
 
 void FakeHosts::stopRun(const HostCall &call, const StopRun &order, OrderCallback callback)
 {
-    if (!m_hosts.at(call.host.value).unresponsive) {
+    const FakeHost &host = m_hosts.at(call.host.value);
+    if (!host.unresponsive && !isForOther(call, host)) {
         endRun(call.host.value, order.task, RunEnd::Stopped);
     }
     m_loop.post([callback = std::move(callback)] { callback({}); });
--- a/packages/fleet/fakehosts.h
+++ b/packages/fleet/fakehosts.h
@@ -15,7 +15,8 @@
 class EventLoop;
 
 /// Simulated host for tests. It checks fencing tokens, reports active and ended runs, and can stop
-/// answering. Its clock is the steady clock of the process.
+/// answering. Its clock counts from its last restart, and before that is the steady clock of the
+/// process.
 struct FakeHost
 {
     std::uint64_t token = 0;
@@ -35,8 +36,12 @@
     std::vector<std::uint64_t> acknowledgements;
     /// Task and run number of every start order that was executed.
     std::vector<std::pair<TaskKey, std::uint64_t>> starts;
+    /// Longest lease that the host grants.
+    milliseconds maxLease = std::chrono::hours(1);
     milliseconds leaseUntil{0};
     milliseconds bootedAt{1};
+    /// Reading of the process's steady clock at which the host's clock shows 0.
+    milliseconds clockStart{0};
 };
 
 /// Simulated hosts "h0", "h1" and so on. Used on the thread of its loop only.
@@ -50,6 +55,10 @@
     /// Returns the host list.
     std::vector<HostRecord> records() const;
     FakeHost &host(const std::string &id);
+    /// Restarts host @p id under its id: it loses all runs and state, and its clock starts anew.
+    void restart(const std::string &id);
+    /// Returns the time until the lease of the runs on host @p id expires.
+    milliseconds remainingLease(const std::string &id) const;
     /// Ends the active run of @p task on host @p id; does nothing if there is none.
     void endRun(const std::string &id, const TaskKey &task, RunEnd how);
     /// Returns the number of active runs of @p task on all hosts; a run whose lease has expired
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -95,6 +95,7 @@
     /// Whether each answer has only the first of the changes, and says so.
     bool cutsChanges = false;
     milliseconds hostLease = lease;
+    milliseconds maxHostLease{1500};
     Duration readJobsEvery = milliseconds(50);
     Duration maxCountAge = testTimeout;
     Duration catchUpTimeout = testTimeout;
@@ -255,6 +256,7 @@
                                    .previous = {.stoppedAt = bootClockNow() - stoppedAgo,
                                                 .heartbeatSeenAt = heartbeatSeenAt},
                                    .lease = hostLease,
+                                   .maxHostLease = maxHostLease,
                                    .renewalWait = milliseconds(50),
                                    .hostTimeout = milliseconds(40),
                                    .renewalRetryDelay = renewalRetryDelay,
@@ -315,6 +317,20 @@
         });
     }
 
+    /// Limits the leases of all hosts to maxHostLease, and restarts those that are idle.
+    void restartIdleHosts()
+    {
+        runOnLoop([&] {
+            for (const HostRecord &record : hosts.records()) {
+                FakeHost &host = hosts.host(record.host.value);
+                host.maxLease = maxHostLease;
+                if (host.active.empty()) {
+                    hosts.restart(record.host.value);
+                }
+            }
+        });
+    }
+
     /// Returns the stored lease record.
     internal::LeaseRecord storedLeases()
     {
@@ -1342,6 +1358,95 @@
     CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.activeRuns(taskOf("started")); }) == 1);
 }
 
+// Guards against a second run: calls that the holder makes before it notices the restart of a host
+// contain times on the clock of the former incarnation, so that the new one grants the longest
+// lease that it may. Review, case 6.
+TEST_CASE("a restarted host gets no lease on the clock of its former incarnation")
+{
+    Cluster cluster(2);
+    cluster.maxHostLease = milliseconds(4000);
+    cluster.startHolder(1);
+    cluster.runOneTask();
+    cluster.restartIdleHosts();
+    // Starts on the hosts that have restarted.
+    for (const std::string id : {"a", "b", "c", "d"}) {
+        cluster.submit(oneTaskJob(id));
+        REQUIRE(cluster.waitUntilRunning(id));
+    }
+    for (const std::string id : {"h0", "h1"}) {
+        CHECK(onLoop(cluster.loop, [&] { return cluster.hosts.remainingLease(id); }) <= lease);
+    }
+}
+
+// The same if the holder that takes over counts the lease from the stop of one that did not know of
+// the restart.
+TEST_CASE("the task of a host that restarted before a takeover waits for its lease")
+{
+    Cluster cluster(2);
+    cluster.maxHostLease = milliseconds(4000);
+    FleetHolder &holder = cluster.startHolder(1);
+    REQUIRE(eventually(cluster.loop, [&] {
+        const auto &hosts = holder.dispatcher().fleet.hosts;
+        return hosts.size() == 2 && hosts.at({"h0"}).reachable && hosts.at({"h1"}).reachable;
+    }));
+    cluster.restartIdleHosts();
+    const std::string host = cluster.runOneTask();
+    cluster.silenceHost(host, false);
+    cluster.stopHolderAtOnce(1);
+    cluster.startHolder(2);
+    CHECK(cluster.activeRunsUntilStartedElsewhere(host) == 1);
+}
+
+// Guards against a task that waits while a renewal that the former incarnation received gets no
+// answer.
+TEST_CASE("a start that finds a host restarted makes the holder ask the host at once")
+{
+    Cluster cluster(1);
+    cluster.startHolder(1);
+    cluster.runOneTask();
+    cluster.runOnLoop([&] {
+        cluster.hosts.endRun("h0", taskOf("j"), RunEnd::Done);
+        cluster.hosts.host("h0").answerDelay = std::chrono::seconds(3);
+    });
+    // Until a renewal waits for its answer.
+    std::this_thread::sleep_for(milliseconds(100));
+    cluster.runOnLoop([&] { cluster.hosts.host("h0").answerDelay = Duration(0); });
+    cluster.restartIdleHosts();
+    const TimePoint submittedAt = bootClockNow();
+    cluster.submit(oneTaskJob("next"));
+    REQUIRE(cluster.waitUntilRunning("next"));
+    CHECK(bootClockNow() - submittedAt < std::chrono::seconds(1));
+}
+
+// Guards against a second run: a host that has executed an order for its former incarnation, which
+// arrived late, has the longest lease that hosts grant.
+TEST_CASE("a run of a late order on a restarted host is not lost before the longest lease ends")
+{
+    Cluster cluster(2);
+    FleetHolder &holder = cluster.startHolder(1);
+    const std::string id = cluster.runOneTask();
+    cluster.runOnLoop([&] {
+        FakeHost &host = cluster.hosts.host(id);
+        const std::map<TaskKey, std::uint64_t> active = host.active;
+        cluster.hosts.restart(id);
+        host.active = active;
+        host.leaseUntil = cluster.maxHostLease;
+    });
+    REQUIRE(eventually(cluster.loop, [&] {
+        return holder.dispatcher().fleet.hosts.at({id}).bootedAt == cluster.hosts.host(id).bootedAt;
+    }));
+    cluster.silenceHost(id, false);
+    SUBCASE("no change of the holder")
+    {
+    }
+    SUBCASE("planned stop")
+    {
+        cluster.stopHolderAsPlanned(1);
+        cluster.startHolder(2);
+    }
+    CHECK(cluster.activeRunsUntilStartedElsewhere(id) == 1);
+}
+
 // Guards against a growing number of unacknowledged ended runs on a busy host: every report
 // contains another ended run, and the acknowledgement of the durable ones waits until that one is
 // written.
--- a/packages/fleet/fleetdaemon.cpp
+++ b/packages/fleet/fleetdaemon.cpp
@@ -37,7 +37,7 @@
 /// Upper bound of the lease of a host. The tasks of a failed host can be restarted only after its
 /// lease has expired, so a longer lease delays them for too little gain. Network partitions of a
 /// failure domain last 5 to 7 s, and the work there survives them with this lease.
-constexpr milliseconds maxHostLease{6000};
+constexpr milliseconds maxGrantedLease{6000};
 /// Margin below the hosts' maximum lease; allows for readings of their clocks that arrive late.
 constexpr milliseconds leaseMargin{100};
 constexpr unsigned statusOk = 200;
@@ -185,7 +185,8 @@
         FleetHolderOptions{.epoch = epoch,
                            .previous = previous,
                            .lease =
-                               std::min(maxHostLease, settings.fleet->maxLease - leaseMargin)});
+                               std::min(maxGrantedLease, settings.fleet->maxLease - leaseMargin),
+                           .maxHostLease = settings.fleet->maxLease});
     if (operatorWatch->view() != nullptr) {
         holder->setEvacuated(operatorWatch->view()->evacuated);
     }
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -168,7 +168,8 @@
                   const Result<HostReport> &report);
     static void noteCompleteness(HostLink &link, const HostReport &report);
     void onRenewalFailed(HostLink &link, FleetHost &host, const Error &error, TimePoint now);
-    static void onHostRestarted(HostLink &link, FleetHost &host);
+    void onHostRestarted(HostLink &link, FleetHost &host, const HostReport &report,
+                         TimePoint now) const;
     void startNextRenewal(HostLink &link, TimePoint now);
     void onDurable();
 
@@ -313,9 +314,11 @@
 
 HostCall FleetHolder::Impl::callFor(const HostLink &link) const
 {
+    const auto host = dispatcher.fleet.hosts.find(link.id);
     return {.endpoint = link.endpoint,
             .host = link.id,
             .token = internal::fencingToken(options.epoch, link),
+            .bootedAt = host == dispatcher.fleet.hosts.end() ? std::nullopt : host->second.bootedAt,
             .timeout = options.hostTimeout};
 }
 
@@ -632,7 +635,10 @@
         std::optional<internal::HostRuns> runs;
         const auto lease = record.hosts.find(id);
         if (usable && lease != record.hosts.end()) {
-            leaseEnd = std::min(leaseEnd, recordMadeBy + remainingHere(lease->second.remaining));
+            const TimePoint recordedEnd = recordMadeBy + remainingHere(lease->second.remaining);
+            // A host that executed a call for its former incarnation may have a longer lease.
+            const bool extended = lease->second.remaining > maxLeaseDuration(options.lease);
+            leaseEnd = extended ? recordedEnd : std::min(leaseEnd, recordedEnd);
             runs = lease->second.runs;
         } else if (usable && record.stopped) {
             leaseEnd = now;
@@ -790,6 +796,7 @@
         link.leaseEnd = std::max(link.leaseEnd, now + maxLeaseDuration(options.lease));
     }
     link.renewing = true;
+    link.renewedAt = now;
     const std::uint64_t sequence = ++link.sequence;
     const HostCall call = callFor(link);
     env.hosts.renewLease(
@@ -828,7 +835,7 @@
     host->reachable = mayExtendLease;
     leaseRecordOld = leaseRecordOld || !mayExtendLease;
     if (report->bootedAt && host->bootedAt && *report->bootedAt != *host->bootedAt) {
-        onHostRestarted(link, *host);
+        onHostRestarted(link, *host, *report, now);
     }
     host->bootedAt = report->bootedAt;
     // A renewal grants no lease if the host's clock is not known or the host did not answer the one
@@ -899,8 +906,24 @@
 
 /// Resets what is known about a host that has restarted. Its runs are updated by the next report
 /// only, because the host may have executed a start order after the restart already.
-void FleetHolder::Impl::onHostRestarted(HostLink &link, FleetHost &host)
-{
+void FleetHolder::Impl::onHostRestarted(HostLink &link, FleetHost &host, const HostReport &report,
+                                        TimePoint now) const
+{
+    // Calls for the former incarnation are not executed by this one. If one was nevertheless, its
+    // lease on the clock of the former incarnation was shortened to the longest that hosts grant.
+    const std::size_t runs = report.active.size() + report.ended.size();
+    if (runs > 0) {
+        link.leaseEnd = std::max(link.leaseEnd, now + maxLeaseDuration(options.maxHostLease));
+    }
+    env.metrics.count("fleet_host_restarts_total", {});
+    logEvent(EventId::HostRestarted,
+             {{"host", link.id.value},
+              {"former_boot_ms", std::to_string(host.bootedAt->count())},
+              {"boot_ms", std::to_string(report.bootedAt->count())},
+              {"lost_runs", std::to_string(host.runs.size())},
+              {"runs_of_former_calls", std::to_string(runs)},
+              {"lease_ms",
+               std::to_string(std::chrono::ceil<milliseconds>(link.leaseEnd - now).count())}});
     host.lastSeenEnd = 0;
     host.lastDurableEnd = 0;
     link.acknowledgedEnd = 0;
@@ -1046,6 +1069,11 @@
                                // that of a newer holder.
                                sendRenewal(found->second, milliseconds(0), answeredAt);
                            }
+                           if (outcome == StartOutcome::HostRestarted && found != links.end()
+                               && found->second.renewedAt <= now) {
+                               // The renewal in progress waits for the former incarnation.
+                               sendRenewal(found->second, milliseconds(0), answeredAt);
+                           }
                            if (outcome == StartOutcome::Unknown && found != links.end()) {
                                ++found->second.tokenCounter;
                                found->second.hasUnansweredOrder = true;
--- a/packages/fleet/holder.h
+++ b/packages/fleet/holder.h
@@ -27,6 +27,8 @@
     /// Duration of the lease that each renewal grants; longer than a takeover takes. It has to be
     /// the same for all holders, because a new holder waits for the leases of its predecessor.
     milliseconds lease{5900};
+    /// Longest lease that hosts grant; a longer one is shortened to it.
+    milliseconds maxHostLease{6000};
     /// Longest time for which a host may delay its answer to a renewal until a run ends.
     milliseconds renewalWait{900};
     /// The same for hosts that run batch tasks next to serving tasks, whose tail latency can change
--- a/packages/fleet/hostclient.h
+++ b/packages/fleet/hostclient.h
@@ -19,6 +19,10 @@
     HostId host;
     /// Fencing token; a host refuses calls with a lower token than the highest it has seen.
     std::uint64_t token = 0;
+    /// Boot time of the incarnation that the call is for, because times on the host's clock and
+    /// numbers of ended runs are valid in one incarnation only. If set, no other one executes the
+    /// call. Unset if it is not known.
+    std::optional<milliseconds> bootedAt;
     Duration timeout = milliseconds(500);
 };
 
@@ -35,9 +39,10 @@
 
 using StartCallback = std::function<void(StartOutcome, std::string detail)>;
 using OrderCallback = std::function<void(Result<void>)>;
-/// Receives the host's report. Errors: StaleEpoch if the host has seen a higher token, HostReplaced
-/// if a host with another id has the address, NotHandedOver if the call was not sent because
-/// earlier ones occupy all connections, or the error of the connection.
+/// Receives the host's report. If another incarnation than the one that the call is for sent it,
+/// the call had no further effect. Errors: StaleEpoch if the host has seen a higher token,
+/// HostReplaced if a host with another id has the address, NotHandedOver if the call was not sent
+/// because earlier ones occupy all connections, or the error of the connection.
 using ReportCallback = std::function<void(Result<HostReport>)>;
 
 /// Asynchronous calls to hosts. All functions return immediately and call back exactly once.
--- a/packages/fleet/internal/hostlink.h
+++ b/packages/fleet/internal/hostlink.h
@@ -34,6 +34,8 @@
     /// Time of the next renewal after a failed one, or after one that was postponed until a write
     /// is durable.
     TimePoint nextRenewalAt;
+    /// When the newest renewal was sent.
+    TimePoint renewedAt;
     /// Number of renewals that failed in a row.
     int failures = 0;
     /// Highest number of an ended run whose acknowledgement the host has answered.
--- a/packages/http/http_test.cpp
+++ b/packages/http/http_test.cpp
@@ -515,3 +515,105 @@
     CHECK(server.requests() == 2);
     loop.stop();
 }
+
+namespace {
+
+/// Server that tells its incarnation and counts requests by path.
+class NamedServer
+{
+public:
+    explicit NamedServer(EventLoop &loop)
+        : m_server(loop, {.listen = {"127.0.0.1", 0}},
+                   [this](const HttpRequest &request, const HttpResponder &respond) {
+                       ++(request.target == "/who" ? questions : calls);
+                       respond({.body = std::to_string(incarnation.load())});
+                   })
+    {
+        REQUIRE(m_server.start());
+    }
+
+    /// Calls the server in the incarnation @p expected.
+    HttpOutcome call(HttpClient &client, const std::string &expected)
+    {
+        std::promise<HttpOutcome> outcome;
+        const HttpPeerCheck check{.expected = expected,
+                                  .makeQuestion = [] { return HttpRequest{.target = "/who"}; },
+                                  .identify =
+                                      [](const HttpResponse &r) {
+                                          return r.body;
+                                      }};
+        client.send(m_server.endpoint(), {.target = "/call"},
+                    {.peerCheck = std::make_shared<HttpPeerCheck>(check)},
+                    [&outcome](HttpOutcome result) { outcome.set_value(std::move(result)); });
+        return outcome.get_future().get();
+    }
+
+    std::atomic<int> incarnation{1};
+    std::atomic<int> questions{0};
+    std::atomic<int> calls{0};
+
+private:
+    HttpServer m_server;
+};
+
+} // namespace
+
+// Guards against a question before each call, which would double the calls to a server.
+TEST_CASE("a server is asked for its incarnation once on each connection")
+{
+    EventLoop loop({.threads = 1});
+    NamedServer server(loop);
+    HttpClient client(loop, {});
+    for (int n = 0; n < 3; ++n) {
+        const HttpOutcome outcome = server.call(client, "1");
+        REQUIRE(outcome.response.has_value());
+        CHECK_FALSE(outcome.peerRefused);
+        CHECK(outcome.handedOver);
+    }
+    CHECK(server.questions == 1);
+    CHECK(server.calls == 3);
+    loop.stop();
+}
+
+// Guards against a call that another incarnation of the server executes.
+TEST_CASE("a call for one incarnation of a server is not sent to another")
+{
+    EventLoop loop({.threads = 1});
+    NamedServer server(loop);
+    HttpClient client(loop, {});
+    const HttpOutcome outcome = server.call(client, "0");
+    CHECK(outcome.peerRefused);
+    CHECK_FALSE(outcome.handedOver);
+    REQUIRE(outcome.response.has_value());
+    CHECK(outcome.response->body == "1");
+    CHECK(server.calls == 0);
+    loop.stop();
+}
+
+// Guards against the use of a connection to a former incarnation that lost power without closing
+// it.
+TEST_CASE("an idle connection to another incarnation of a server is not used")
+{
+    EventLoop loop({.threads = 1});
+    NamedServer server(loop);
+    HttpClient client(loop, {.maxConnectionsPerEndpoint = 1});
+    REQUIRE_FALSE(server.call(client, "1").peerRefused);
+    server.incarnation = 2;
+    REQUIRE_FALSE(server.call(client, "2").peerRefused);
+    CHECK(server.questions == 2);
+    CHECK(server.calls == 2);
+    loop.stop();
+}
+
+// Guards against a second question on a connection whose peer the answer to a call has named.
+TEST_CASE("an answer to a call for any incarnation names the peer of the connection")
+{
+    EventLoop loop({.threads = 1});
+    NamedServer server(loop);
+    HttpClient client(loop, {});
+    REQUIRE_FALSE(server.call(client, "").peerRefused);
+    REQUIRE_FALSE(server.call(client, "1").peerRefused);
+    CHECK(server.questions == 0);
+    CHECK(server.calls == 2);
+    loop.stop();
+}
--- a/packages/http/httpclient.cpp
+++ b/packages/http/httpclient.cpp
@@ -13,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -28,14 +29,26 @@
 constexpr std::uint64_t minReadBytes = 512;
 constexpr std::uint64_t maxReadBytes = 65536;
 
-using StreamPtr = std::unique_ptr<beast::tcp_stream>;
+struct Connection
+{
+    explicit Connection(asio::io_context &context)
+        : stream(asio::make_strand(context))
+    {
+    }
+
+    beast::tcp_stream stream;
+    /// Incarnation of the server, as far as it is known.
+    std::string peer;
+};
+
+using ConnectionPtr = std::unique_ptr<Connection>;
 
 /// Returns whether an idle connection is still open in both directions. If it is not, its socket
 /// has an end of stream or data to read.
-bool isReusable(beast::tcp_stream &stream)
+bool isReusable(Connection &connection)
 {
     beast::error_code ec;
-    auto &socket = stream.socket();
+    auto &socket = connection.stream.socket();
     if (!socket.is_open()) {
         return false;
     }
@@ -54,10 +67,13 @@
     PendingCall &operator=(const PendingCall &) = delete;
     virtual ~PendingCall() = default;
 
-    /// Sends the request. Without a stream, opens a connection first.
-    virtual void begin(StreamPtr stream) = 0;
+    /// Sends the request. Without a connection, opens one first.
+    virtual void begin(ConnectionPtr connection) = 0;
     /// Ends the call before anything was sent.
     virtual void fail(const std::string &reason) = 0;
+    /// Returns whether the call may use a connection to @p peer, which is empty if the incarnation
+    /// of the server is not known.
+    virtual bool mayUse(const std::string &peer) const = 0;
 };
 
 using PendingCallPtr = std::shared_ptr<PendingCall>;
@@ -65,7 +81,7 @@
 /// The connections to one endpoint.
 struct EndpointConnections
 {
-    std::vector<StreamPtr> idle;
+    std::vector<ConnectionPtr> idle;
     /// Connections that are open or being opened, including the idle ones.
     std::size_t open = 0;
     std::deque<PendingCallPtr> waiting;
@@ -86,9 +102,9 @@
     bool beginOrEnqueue(const Endpoint &endpoint, const PendingCallPtr &call, bool fresh);
     /// Ends the wait of @p call if it is still in the queue.
     void giveUpWaiting(const Endpoint &endpoint, const PendingCallPtr &call);
-    /// Takes back the connection of a call that has ended; @p stream is null if it was closed. The
-    /// next waiting call uses it.
-    void release(const Endpoint &endpoint, StreamPtr stream);
+    /// Takes back the connection of a call that has ended; @p connection is null if it was closed.
+    /// The next waiting call uses it.
+    void release(const Endpoint &endpoint, ConnectionPtr connection);
     void close();
 
     EventLoop &loop;
@@ -98,17 +114,20 @@
     bool closed = false;
 
 private:
-    StreamPtr takeIdleStream(EndpointConnections &endpoint) const;
+    ConnectionPtr takeIdle(EndpointConnections &endpoint, const PendingCall &call) const;
 };
 
 /// Precondition: the caller holds the mutex.
-StreamPtr HttpClient::Impl::takeIdleStream(EndpointConnections &endpoint) const
+ConnectionPtr HttpClient::Impl::takeIdle(EndpointConnections &endpoint,
+                                         const PendingCall &call) const
 {
     while (!endpoint.idle.empty()) {
-        StreamPtr stream = std::move(endpoint.idle.back());
+        ConnectionPtr connection = std::move(endpoint.idle.back());
         endpoint.idle.pop_back();
-        if (isReusable(*stream)) {
-            return stream;
+        // A server that lost power closes no connections, so those to its former incarnation look
+        // open.
+        if (call.mayUse(connection->peer) && isReusable(*connection)) {
+            return connection;
         }
         --endpoint.open;
     }
@@ -118,7 +137,7 @@
 bool HttpClient::Impl::beginOrEnqueue(const Endpoint &endpoint, const PendingCallPtr &call,
                                       bool fresh)
 {
-    StreamPtr stream;
+    ConnectionPtr connection;
     bool refused = false;
     {
         const std::lock_guard lock(mutex);
@@ -126,20 +145,20 @@
         if (!refused) {
             EndpointConnections &target = connections[endpoint];
             if (!fresh) {
-                stream = takeIdleStream(target);
+                connection = takeIdle(target, *call);
             }
             const std::size_t limit = options.maxConnectionsPerEndpoint;
-            if (!stream && limit > 0 && target.open >= limit) {
+            if (!connection && limit > 0 && target.open >= limit) {
                 target.waiting.push_back(call);
                 return false;
             }
-            target.open += stream ? 0 : 1;
+            target.open += connection ? 0 : 1;
         }
     }
     if (refused) {
         call->fail("the client is closed");
     } else {
-        call->begin(std::move(stream));
+        call->begin(std::move(connection));
     }
     return true;
 }
@@ -155,7 +174,7 @@
     call->fail("all connections to the server stayed in use");
 }
 
-void HttpClient::Impl::release(const Endpoint &endpoint, StreamPtr stream)
+void HttpClient::Impl::release(const Endpoint &endpoint, ConnectionPtr connection)
 {
     PendingCallPtr next;
     {
@@ -164,15 +183,15 @@
         if (!target.waiting.empty()) {
             next = std::move(target.waiting.front());
             target.waiting.pop_front();
-        } else if (stream && !closed
+        } else if (connection && !closed
                    && target.idle.size() < options.maxIdleConnectionsPerEndpoint) {
-            target.idle.push_back(std::move(stream));
+            target.idle.push_back(std::move(connection));
         } else {
             --target.open;
         }
     }
     if (next) {
-        next->begin(std::move(stream));
+        next->begin(std::move(connection));
     }
 }
 
@@ -207,6 +226,24 @@
     return {code, ec.message(), toString(endpoint)};
 }
 
+using Message = beast::http::request<beast::http::string_body>;
+
+Message toMessage(HttpRequest request, const Endpoint &endpoint, bool keepAlive)
+{
+    Message message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.set(beast::http::field::host, toString(endpoint));
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
+    message.body() = std::move(request.body);
+    message.keep_alive(keepAlive);
+    message.prepare_payload();
+    return message;
+}
+
 /// One request and its answer. Runs on the strand of its connection.
 template<typename Pool>
 class Call : public PendingCall, public std::enable_shared_from_this<Call<Pool>>
@@ -221,18 +258,10 @@
 
     void start(HttpRequest request, const HttpCallOptions &options)
     {
-        m_request.method_string(request.method);
-        m_request.target(request.target);
-        m_request.version(11);
-        m_request.set(beast::http::field::host, toString(m_endpoint));
-        for (const auto &[name, value] : request.headers) {
-            m_request.set(name, value);
-        }
-        m_request.body() = std::move(request.body);
         // A connection that is opened for one request must not be added to the pool; otherwise the
         // pools of several daemons together exceed the connection limit of a backend server.
-        m_request.keep_alive(!options.freshConnection);
-        m_request.prepare_payload();
+        m_request = toMessage(std::move(request), m_endpoint, !options.freshConnection);
+        m_peerCheck = options.peerCheck;
         m_deadline = std::chrono::steady_clock::now() + options.timeout;
 
         const auto self = this->shared_from_this();
@@ -247,17 +276,15 @@
         }
     }
 
-    void begin(StreamPtr stream) override
+    void begin(ConnectionPtr connection) override
     {
-        const bool connected = stream && m_request.keep_alive();
-        m_stream =
-            connected
-                ? std::move(stream)
-                : std::make_unique<beast::tcp_stream>(asio::make_strand(m_pool->loop.context()));
-        asio::dispatch(m_stream->get_executor(), [self = this->shared_from_this(), connected] {
-            self->m_stream->expires_at(self->m_deadline);
+        const bool connected = connection && m_request.keep_alive();
+        m_connection = connected ? std::move(connection)
+                                 : std::make_unique<Connection>(m_pool->loop.context());
+        asio::dispatch(stream().get_executor(), [self = this->shared_from_this(), connected] {
+            self->stream().expires_at(self->m_deadline);
             if (connected) {
-                self->write();
+                self->onConnected();
             } else {
                 self->connect();
             }
@@ -269,7 +296,22 @@
         m_callback({failure(ResultCode::NotHandedOver, reason, toString(m_endpoint)), false});
     }
 
+    bool mayUse(const std::string &peer) const override
+    {
+        return peer.empty() || isExpected(peer);
+    }
+
 private:
+    bool isExpected(const std::string &peer) const
+    {
+        return !m_peerCheck || m_peerCheck->expected.empty() || m_peerCheck->expected == peer;
+    }
+
+    beast::tcp_stream &stream()
+    {
+        return m_connection->stream;
+    }
+
     void connect()
     {
         beast::error_code ec;
@@ -278,7 +320,7 @@
             finish(tl::unexpected<Error>(toError(ec, m_endpoint)));
             return;
         }
-        m_stream->async_connect(
+        stream().async_connect(
             tcp::endpoint(address, m_endpoint.port),
             [self = this->shared_from_this()](beast::error_code result) {
                 if (result) {
@@ -286,15 +328,39 @@
                     return;
                 }
                 beast::error_code ignored;
-                self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
-                self->write();
+                self->stream().socket().set_option(tcp::no_delay(true), ignored);
+                self->onConnected();
+            });
+    }
+
+    void onConnected()
+    {
+        if (isExpected(m_connection->peer)) {
+            write();
+        } else {
+            askPeer();
+        }
+    }
+
+    void askPeer()
+    {
+        m_question = toMessage(m_peerCheck->makeQuestion(), m_endpoint, true);
+        m_asking = true;
+        beast::http::async_write(
+            stream(), m_question,
+            [self = this->shared_from_this()](beast::error_code ec, std::size_t) {
+                if (ec) {
+                    self->finish(tl::unexpected<Error>(toError(ec, self->m_endpoint)));
+                    return;
+                }
+                self->read();
             });
     }
 
     void write()
     {
         beast::http::async_write(
-            *m_stream, m_request,
+            stream(), m_request,
             [self = this->shared_from_this()](beast::error_code ec, std::size_t n) {
                 self->m_handedOver = n > 0 || !ec;
                 if (ec) {
@@ -307,9 +373,10 @@
 
     void read()
     {
-        m_parser.body_limit(m_pool->options.maxBodyBytes);
+        m_parser.emplace();
+        m_parser->body_limit(m_pool->options.maxBodyBytes);
         beast::http::async_read_header(
-            *m_stream, m_buffer, m_parser,
+            stream(), m_buffer, *m_parser,
             [self = this->shared_from_this()](beast::error_code ec, std::size_t) {
                 if (ec) {
                     self->onRead(ec);
@@ -323,10 +390,10 @@
     {
         // Each read returns at most the buffer's capacity and waits for an iteration of the event
         // loop, so the capacity is set from the length that is left.
-        const auto left = m_parser.content_length_remaining().value_or(0);
+        const auto left = m_parser->content_length_remaining().value_or(0);
         m_buffer.reserve(
             static_cast<std::size_t>(std::clamp<std::uint64_t>(left, minReadBytes, maxReadBytes)));
-        beast::http::async_read(*m_stream, m_buffer, m_parser,
+        beast::http::async_read(stream(), m_buffer, *m_parser,
                                 [self = this->shared_from_this()](
                                     beast::error_code ec, std::size_t) { self->onRead(ec); });
     }
@@ -337,44 +404,71 @@
             finish(tl::unexpected<Error>(toError(ec, m_endpoint)));
             return;
         }
-        const auto &message = m_parser.get();
+        const auto &message = m_parser->get();
         // Without a declared length, the answer ends where the connection ends, and a truncated
         // answer cannot be distinguished from a complete one.
-        if (m_parser.need_eof()) {
+        if (m_parser->need_eof()) {
             finish(failure(ResultCode::IncompleteAnswer,
                            "the answer has neither Content-Length nor chunked encoding",
                            toString(m_endpoint)));
             return;
         }
+        const bool keepAlive = message.keep_alive();
         HttpResponse response;
         response.status = message.result_int();
         response.headers = internal::toHeaders(message);
         response.body = message.body();
-        if (message.keep_alive() && m_request.keep_alive()) {
-            m_stream->expires_never();
-            m_reusable = true;
+        if (m_peerCheck && (m_asking || m_connection->peer.empty())) {
+            m_connection->peer = m_peerCheck->identify(response);
+        }
+        if (std::exchange(m_asking, false)) {
+            onPeerAnswer(std::move(response), keepAlive);
+            return;
         }
+        m_reusable = keepAlive && m_request.keep_alive();
         finish(std::move(response));
     }
 
+    void onPeerAnswer(HttpResponse response, bool keepAlive)
+    {
+        if (!isExpected(m_connection->peer)) {
+            // Not reused: later calls for the present incarnation open connections of their own.
+            m_peerRefused = true;
+            finish(std::move(response));
+        } else if (!keepAlive) {
+            finish(failure(ResultCode::ConnectionFailed,
+                           "the server closes the connection after each answer",
+                           toString(m_endpoint)));
+        } else {
+            write();
+        }
+    }
+
     void finish(Result<HttpResponse> response)
     {
-        if (!m_reusable) {
-            m_stream.reset();
+        if (m_reusable) {
+            stream().expires_never();
+        } else {
+            m_connection.reset();
         }
-        m_pool->release(m_endpoint, std::move(m_stream));
-        m_callback({std::move(response), m_handedOver});
+        m_pool->release(m_endpoint, std::move(m_connection));
+        m_callback({std::move(response), m_handedOver, m_peerRefused});
     }
 
     std::shared_ptr<Pool> m_pool;
     Endpoint m_endpoint;
     HttpCallback m_callback;
-    StreamPtr m_stream;
+    ConnectionPtr m_connection;
     beast::flat_buffer m_buffer;
-    beast::http::request<beast::http::string_body> m_request;
-    beast::http::response_parser<beast::http::string_body> m_parser;
+    Message m_request;
+    std::shared_ptr<const HttpPeerCheck> m_peerCheck;
+    Message m_question;
+    std::optional<beast::http::response_parser<beast::http::string_body>> m_parser;
     TimePoint m_deadline;
     bool m_handedOver = false;
+    /// Whether the answer that is awaited is that to the question of the peer check.
+    bool m_asking = false;
+    bool m_peerRefused = false;
     /// Whether the connection can carry another call.
     bool m_reusable = false;
 };
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace acaciadeal {
 
@@ -22,6 +23,22 @@
     std::size_t maxBodyBytes = 8 * 1024 * 1024;
 };
 
+/// Restricts a call to one incarnation of the server, because a server that restarts may take calls
+/// that were meant for its previous incarnation. A connection never outlives an incarnation, so each
+/// connection is checked once, before the first call on it. The server has to keep connections open
+/// after an answer. The functions have to be thread-safe.
+struct HttpPeerCheck
+{
+    /// Incarnation that the call is meant for; if empty, the call is sent to any.
+    std::string expected;
+    /// Returns the request that is sent on a connection whose peer is not known to be the expected
+    /// one.
+    std::function<HttpRequest()> makeQuestion;
+    /// Returns the incarnation that an answer to the question or to the call names; empty if it
+    /// names none.
+    std::function<std::string(const HttpResponse &)> identify;
+};
+
 struct HttpCallOptions
 {
     /// Timeout of the whole call: waiting for a connection, connecting, sending and receiving the
@@ -30,6 +47,8 @@
     /// Opens a new connection for this call and closes it after the answer. A pooled connection may
     /// be closed by the server while it is idle, which would make the outcome unknown.
     bool freshConnection = false;
+    /// Check of the server's incarnation; null for none.
+    std::shared_ptr<const HttpPeerCheck> peerCheck;
 };
 
 /// Outcome of one call.
@@ -41,6 +60,9 @@
     /// Whether the server may have received the request; false only if it is certain that no byte
     /// of it was sent.
     bool handedOver = false;
+    /// Whether the request was not sent because another incarnation, or none, answered the question
+    /// of the peer check. In that case, the response is the answer to that question.
+    bool peerRefused = false;
 };
 
 using HttpCallback = std::function<void(HttpOutcome)>;
--- a/tests/standins/faultyserver.cpp
+++ b/tests/standins/faultyserver.cpp
@@ -4,6 +4,7 @@
 #include "http/listener.h"
 #include "runtime/eventloop.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,9 +12,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <mutex>
 #include <optional>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 namespace acaciadeal::standins {
 
@@ -32,6 +35,8 @@
     {
     }
 
+    class Connection;
+
     void accept();
 
     EventLoop &loop;
@@ -41,13 +46,13 @@
     std::atomic<std::size_t> openConnections{0};
     std::atomic<std::size_t> refusedConnections{0};
     std::atomic<std::size_t> abandonedRequests{0};
+    std::mutex mutex;
+    std::vector<std::weak_ptr<Connection>> connections;
 };
 
-namespace {
-
 constexpr std::size_t maxRequestBytes = 16 * 1024 * 1024;
 
-class Connection : public std::enable_shared_from_this<Connection>
+class FaultyServer::Impl::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
     Connection(std::shared_ptr<FaultyServer::Impl> server, tcp::socket socket)
@@ -83,6 +88,18 @@
                                 });
     }
 
+    void reset()
+    {
+        asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] {
+            beast::error_code ec;
+            // With a linger time of 0, close() sends a TCP reset.
+            self->m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+            self->m_reset = true;
+            self->m_stream.close();
+            self->leave();
+        });
+    }
+
 private:
     /// No longer counts the connection as in use.
     void leave()
@@ -145,7 +162,7 @@
 
     void respond(const HttpResponse &response, bool keepAlive, Delivery delivery)
     {
-        if (m_abandoned) {
+        if (m_abandoned || m_reset) {
             return;
         }
         if (std::exchange(m_handling, false)) {
@@ -189,27 +206,34 @@
     bool m_handling = false;
     /// Whether the client closed the connection before the answer.
     bool m_abandoned = false;
+    bool m_reset = false;
 };
 
-} // namespace
-
 void FaultyServer::Impl::accept()
 {
-    acceptor.async_accept(
-        asio::make_strand(loop.context()),
-        [self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
-            if (!self->acceptor.is_open()) {
-                return;
-            }
-            const std::size_t limit = self->options.maxConnections;
-            if (!ec && limit > 0 && self->openConnections >= limit) {
-                ++self->refusedConnections;
-                socket.close(ec);
-            } else if (!ec) {
-                std::make_shared<Connection>(self, std::move(socket))->readRequest();
-            }
-            self->accept();
-        });
+    acceptor.async_accept(asio::make_strand(loop.context()),
+                          [self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
+                              if (!self->acceptor.is_open()) {
+                                  return;
+                              }
+                              const std::size_t limit = self->options.maxConnections;
+                              if (!ec && limit > 0 && self->openConnections >= limit) {
+                                  ++self->refusedConnections;
+                                  socket.close(ec);
+                              } else if (!ec) {
+                                  const auto connection =
+                                      std::make_shared<Connection>(self, std::move(socket));
+                                  {
+                                      const std::lock_guard lock(self->mutex);
+                                      std::erase_if(self->connections, [](const auto &entry) {
+                                          return entry.expired();
+                                      });
+                                      self->connections.push_back(connection);
+                                  }
+                                  connection->readRequest();
+                              }
+                              self->accept();
+                          });
 }
 
 FaultyServer::FaultyServer(EventLoop &loop, const FaultyServerOptions &options,
@@ -241,6 +265,16 @@
     return {m_impl->options.listen.address, m_impl->acceptor.local_endpoint(ec).port()};
 }
 
+void FaultyServer::resetConnections()
+{
+    const std::lock_guard lock(m_impl->mutex);
+    for (const auto &entry : m_impl->connections) {
+        if (const auto connection = entry.lock()) {
+            connection->reset();
+        }
+    }
+}
+
 std::size_t FaultyServer::refusedConnections() const
 {
     return m_impl->refusedConnections;
--- a/tests/standins/faultyserver.h
+++ b/tests/standins/faultyserver.h
@@ -56,6 +56,10 @@
     /// Returns the bound endpoint. Precondition: start() succeeded.
     Endpoint endpoint() const;
 
+    /// Resets all open connections, as the restart of a server does. Requests that have no answer
+    /// yet get none.
+    void resetConnections();
+
     /// Returns how many connections were closed because of the limit.
     std::size_t refusedConnections() const;
     /// Returns how many connections are in use.
