Restart hosts under their ids in the soak, with leases above the holder's

Why the soak missed the second runs after restarts: its hosts granted leases of at most 6 s, as long as the holder's count, kept their connections over a restart, were back at once, and no task outlived a lease.

--- a/tests/soak/hoststandin.cpp
+++ b/tests/soak/hoststandin.cpp
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr Duration tickPeriod = milliseconds(10);
-/// Longest lease that hosts grant, as in the users' deployments.
-constexpr std::int64_t maxLeaseMs = 6000;
 constexpr int minOrderDelayMs = 2000;
 constexpr int orderDelaySpreadMs = 3000;
 /// Connections that a host accepts from all daemons together. Fewer than the 64 of the users'
@@ -117,8 +115,11 @@
     return (m_options.milliCores - usedMilliCores()) / milliCores;
 }
 
-void HostStandin::crash()
+void HostStandin::crash(Connections connections)
 {
+    if (connections == Connections::Reset) {
+        m_server->resetConnections();
+    }
     for (const auto &[task, run] : m_active) {
         m_checker.onEnd(bootName(), task, run.run, "crashed", std::chrono::steady_clock::now());
     }
@@ -273,7 +274,8 @@
 {
     if (call.contains("deadline_ms")) {
         const std::int64_t wanted = call.at("deadline_ms");
-        m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(wanted, clockMs() + maxLeaseMs));
+        m_leaseUntilMs =
+            std::max(m_leaseUntilMs, std::min(wanted, clockMs() + m_options.maxLease.count()));
     }
 }
 
@@ -333,14 +335,16 @@
     extendLease(call);
     if (m_unacknowledgedEnds.empty() && std::chrono::steady_clock::now() < until) {
         // A waiting call has no further effect: it acknowledges ends and extends the lease only on
-        // arrival, and it stops waiting when the host reboots.
+        // arrival. A reboot ends it without an answer.
         json waitingCall = call;
         waitingCall.erase("deadline_ms");
         waitingCall["last_seen"] = 0;
-        m_loop.postAfter(
-            tickPeriod, [this, waitingCall, until, respond, bootTimeMs = m_bootTimeMs] {
-                renewLease(waitingCall, bootTimeMs == m_bootTimeMs ? until : TimePoint{}, respond);
-            });
+        m_loop.postAfter(tickPeriod,
+                         [this, waitingCall, until, respond, bootTimeMs = m_bootTimeMs] {
+                             if (bootTimeMs == m_bootTimeMs) {
+                                 renewLease(waitingCall, until, respond);
+                             }
+                         });
         return;
     }
     json active = json::array();
--- a/tests/soak/hoststandin.h
+++ b/tests/soak/hoststandin.h
@@ -26,6 +26,8 @@
     std::string failureDomain;
     int milliCores = 8000;
     int maxAttempts = 4;
+    /// Longest lease that the host grants; a longer one is shortened to it.
+    milliseconds maxLease{10'000};
     /// Rate of the host's clock relative to real time; may be as low as 0.98, a clock that is 2%
     /// slow.
     double clockRate = 1.0;
@@ -53,8 +55,10 @@
     void leave();
     /// Returns how many tasks of the given size fit beside the runs of the host.
     int freePlaces(int milliCores) const;
-    /// Simulates a crash and reboot: loses all runs and state, and gets a new boot time.
-    void crash();
+    /// Simulates a crash and reboot: loses all runs and state, and gets a new boot time. The caller
+    /// makes sure that nothing arrives any more on connections that are not reset.
+    enum class Connections : std::uint8_t { Reset, LeftOpen };
+    void crash(Connections connections = Connections::Reset);
     /// Sets the share of the orders that get no answer and are executed 2 to 5 s later.
     void setDelayedOrderShare(double share);
     /// How start orders are refused: not at all, with status 503 as by a host that considers itself
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -12,6 +12,7 @@
 #include <future>
 #include <getopt.h>
 #include <iostream>
+#include <set>
 #include <sys/wait.h>
 #include <utility>
 #include <vector>
@@ -26,12 +27,13 @@
 
 constexpr const char *usage =
     "Usage: fleet_soak [--seed N] [--seconds N] [--daemons N] [--hosts N] [--logs FOLDER]\n"
-    "                  [--replacements] [--binary FILE]\n"
+    "                  [--replacements] [--restarts] [--binary FILE]\n"
     "  Runs daemons as processes against stand-ins for the table store and the hosts, injects\n"
     "  faults for the given seconds, and checks the scheduler's guarantees as callers and hosts\n"
     "  observe them. Exit status 1 if a guarantee was violated.\n"
     "  With --replacements, the daemons are stopped in turn while the hosts are replaced, instead\n"
-    "  of the random faults. --binary selects another daemon.\n";
+    "  of the random faults. With --restarts, the hosts restart under their ids and are cut off\n"
+    "  soon after, instead of these. --binary selects another daemon.\n";
 
 struct SoakOptions
 {
@@ -41,6 +43,7 @@
     int hosts = 8;
     std::string logFolder;
     bool replacements = false;
+    bool restarts = false;
     std::string binary = ACACIADEAL_DAEMON;
 };
 
@@ -81,6 +84,23 @@
 constexpr Duration successorDelay = milliseconds(400);
 constexpr int minPowerLossGapMs = 8000;
 constexpr int powerLossGapSpreadMs = 8000;
+/// Of --restarts: gap between the restarts of two groups of hosts, time for which a host is away,
+/// time from its return until it is cut off, length of the cut, up to longer than a lease, and
+/// number of jobs that come when the hosts are back.
+constexpr int minRestartGapMs = 2000;
+constexpr int restartGapSpreadMs = 4000;
+constexpr int minAwayMs = 200;
+constexpr int awaySpreadMs = 800;
+constexpr int minCutDelayMs = 100;
+constexpr int cutDelaySpreadMs = 2000;
+constexpr int minCutMs = 5000;
+constexpr int cutSpreadMs = 5000;
+constexpr int jobsAtReturn = 3;
+/// Tasks of --restarts run for up to about as long as the longest lease that hosts grant.
+constexpr int maxLongRunMs = 10'000;
+/// Longest lease that hosts grant: longer than the one that holders ask for, as in some of the
+/// users' deployments.
+constexpr milliseconds maxHostLease{10'000};
 constexpr int longRunningMilliCores = 300;
 constexpr int longRunningTasks = 4;
 constexpr Duration watchPeriod = milliseconds(50);
@@ -154,6 +174,7 @@
     void writeConfig();
 
     void submitNextJob();
+    void submitNewJob();
     void submitLongRunningJobs();
     void submitJob(const std::string &id, int attempt);
     void pollJob(const std::string &id);
@@ -188,6 +209,12 @@
     void stopNextDaemon();
     void replaceNextHost();
     void losePowerAtTimes();
+    /// The faults of --restarts, with losses of power of the holder on some seeds.
+    void restartHosts();
+    void restartNextHosts();
+    void crashHost(std::size_t n, bool silent);
+    void returnHost(std::size_t n);
+    void cutOff(std::size_t n);
     void watchLongRunningTasks();
     void endFaults();
     void logEvent(const std::string &text);
@@ -204,6 +231,8 @@
     std::mt19937_64 m_replacementRandom{m_options.seed};
     std::size_t m_nextStopped = 0;
     std::size_t m_nextReplaced = 0;
+    /// Hosts that are away or cut off, or will be.
+    std::set<std::size_t> m_restarting;
     std::vector<std::string> m_longRunningJobs;
     /// Since when there has been room for two long-running tasks; unset while there is none.
     std::optional<TimePoint> m_roomSince;
@@ -266,7 +295,7 @@
               {"timeout_ms", 1200}}},
             {"fleet",
              {{"adapter", "users-platform"},
-              {"max_lease_ms", 6000},
+              {"max_lease_ms", maxHostLease.count()},
               {"ready_listen", daemon->readyPort.endpoint()},
               {"metrics_listen",
                daemon->metricsPort.endpoint()}}}}.dump();
@@ -300,6 +329,7 @@
                                                   .service = "svc",
                                                   .failureDomain = n % 2 == 0 ? "a" : "b",
                                                   .maxAttempts = maxAttempts,
+                                                  .maxLease = maxHostLease,
                                                   .clockRate = n % 3 == 0 ? 0.98 : 1.0}));
     m_hostLinks.push_back(std::make_unique<Proxy>(m_loop, m_hosts.back()->endpoint()));
     registerHost(n);
@@ -402,20 +432,26 @@
     if (!m_submitting) {
         return;
     }
+    submitNewJob();
+    runAfter(m_options.restarts ? 2 * submitPeriod : submitPeriod, [this] { submitNextJob(); });
+}
+
+void Soak::submitNewJob()
+{
     const std::string id = jobId(++m_jobs);
     JobRecord job{.payload = "payload of " + id};
-    const int steps = 1 + randomBelow(2);
+    const int steps = m_options.restarts ? 1 : 1 + randomBelow(2);
     for (int n = 0; n < steps; ++n) {
-        job.steps.push_back({.tasks = 1 + randomBelow(5),
-                             .milliCores = 500 + randomBelow(2000),
-                             .runMs = 100 + randomBelow(900)});
+        job.steps.push_back(
+            {.tasks = 1 + randomBelow(5),
+             .milliCores = m_options.restarts ? 100 + randomBelow(300) : 500 + randomBelow(2000),
+             .runMs = 100 + randomBelow(m_options.restarts ? maxLongRunMs : 900)});
     }
     m_checker.jobs[id] = std::move(job);
     submitJob(id, 1);
     if (randomBelow(12) == 0) {
         runAfter(randomDuration(300, 2500), [this, id] { cancelJob(id); });
     }
-    runAfter(submitPeriod, [this] { submitNextJob(); });
 }
 
 void Soak::submitLongRunningJobs()
@@ -908,6 +944,75 @@
              });
 }
 
+void Soak::restartHosts()
+{
+    m_onlyPlannedRestarts = false;
+    restartNextHosts();
+    if (m_replacementRandom() % 2 == 0) {
+        losePowerAtTimes();
+    }
+}
+
+/// Restarts most hosts of a failure domain, and submits jobs as they come back.
+void Soak::restartNextHosts()
+{
+    if (!m_submitting) {
+        return;
+    }
+    const int domain = randomBelow(2);
+    const bool silent = randomBelow(4) != 0;
+    const Duration away = randomDuration(minAwayMs, minAwayMs + awaySpreadMs);
+    const Duration cutDelay = randomDuration(minCutDelayMs, minCutDelayMs + cutDelaySpreadMs);
+    for (int n = domain; n < m_options.hosts; n += 2) {
+        const auto host = static_cast<std::size_t>(n);
+        if (randomBelow(4) != 0 && m_restarting.insert(host).second) {
+            crashHost(host, silent);
+            runAfter(away, [this, host] { returnHost(host); });
+            runAfter(away + cutDelay, [this, host] { cutOff(host); });
+        }
+    }
+    runAfter(away, [this] {
+        for (int n = 0; n < jobsAtReturn && m_submitting; ++n) {
+            submitNewJob();
+        }
+    });
+    runAfter(randomDuration(minRestartGapMs, minRestartGapMs + restartGapSpreadMs),
+             [this] { restartNextHosts(); });
+}
+
+void Soak::crashHost(std::size_t n, bool silent)
+{
+    logEvent(m_hosts[n]->id() + (silent ? " loses power" : " crashes"));
+    if (silent) {
+        m_hostLinks[n]->blackholeOpenConnections();
+    }
+    m_hosts[n]->crash(silent ? HostStandin::Connections::LeftOpen
+                             : HostStandin::Connections::Reset);
+    // New connections reach the host when it is back.
+    m_hostLinks[n]->setFault({.holdsToServer = true, .holdsToClient = true});
+}
+
+void Soak::returnHost(std::size_t n)
+{
+    logEvent(m_hosts[n]->id() + " is back");
+    m_hostLinks[n]->setFault({});
+    registerHost(n);
+}
+
+void Soak::cutOff(std::size_t n)
+{
+    if (!m_submitting) {
+        return;
+    }
+    logEvent(m_hosts[n]->id() + " is cut off");
+    m_hostLinks[n]->setFault({.holdsToServer = true, .holdsToClient = true});
+    runAfter(randomDuration(minCutMs, minCutMs + cutSpreadMs), [this, n] {
+        logEvent(m_hosts[n]->id() + " is reachable again");
+        m_hostLinks[n]->setFault({});
+        m_restarting.erase(n);
+    });
+}
+
 void Soak::watchLongRunningTasks()
 {
     if (m_finished) {
@@ -991,19 +1096,23 @@
         askDaemons();
         if (m_options.replacements) {
             replaceHostsDuringStops();
+        } else if (m_options.restarts) {
+            restartHosts();
         } else {
             stopDaemonsInTurn(0);
         }
     });
-    const Duration rolling =
-        m_options.replacements ? startupTime
-                               : startupTime + m_options.daemons * milliseconds(rollingRestartGapMs)
-                                     + shutdownGracePeriod;
+    const Duration rolling = m_options.replacements || m_options.restarts
+                                 ? startupTime
+                                 : startupTime
+                                       + m_options.daemons * milliseconds(rollingRestartGapMs)
+                                       + shutdownGracePeriod;
     m_loop.postAfter(rolling + std::chrono::seconds(m_options.seconds), [this, &finished] {
         endFaults();
         // The effects of the last faults may last as long as a lease; after that, every job must
-        // end.
-        runAfter(shutdownGracePeriod + finishTimeout,
+        // end, with --restarts once its tasks, which run for longer, have had time to run.
+        const Duration extraRunTime = milliseconds(m_options.restarts ? maxLongRunMs : 0);
+        runAfter(shutdownGracePeriod + finishTimeout + extraRunTime,
                  [this, &finished] { finish([&finished] { finished.set_value(); }); });
     });
     finished.get_future().wait();
@@ -1031,12 +1140,16 @@
 int main(int argc, char **argv)
 {
     SoakOptions options;
-    const option longOptions[] = {
-        {"seed", required_argument, nullptr, 's'},    {"seconds", required_argument, nullptr, 't'},
-        {"daemons", required_argument, nullptr, 'd'}, {"hosts", required_argument, nullptr, 'h'},
-        {"logs", required_argument, nullptr, 'l'},    {"replacements", no_argument, nullptr, 'r'},
-        {"binary", required_argument, nullptr, 'b'},  {nullptr, 0, nullptr, 0}};
-    for (int c = 0; (c = getopt_long(argc, argv, "s:t:d:h:l:rb:", longOptions, nullptr)) != -1;) {
+    const option longOptions[] = {{"seed", required_argument, nullptr, 's'},
+                                  {"seconds", required_argument, nullptr, 't'},
+                                  {"daemons", required_argument, nullptr, 'd'},
+                                  {"hosts", required_argument, nullptr, 'h'},
+                                  {"logs", required_argument, nullptr, 'l'},
+                                  {"replacements", no_argument, nullptr, 'r'},
+                                  {"restarts", no_argument, nullptr, 'e'},
+                                  {"binary", required_argument, nullptr, 'b'},
+                                  {nullptr, 0, nullptr, 0}};
+    for (int c = 0; (c = getopt_long(argc, argv, "s:t:d:h:l:reb:", longOptions, nullptr)) != -1;) {
         switch (c) {
         case 's':
             options.seed = std::stoull(optarg);
@@ -1056,6 +1169,9 @@
         case 'r':
             options.replacements = true;
             break;
+        case 'e':
+            options.restarts = true;
+            break;
         case 'b':
             options.binary = optarg;
             break;
