--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -24,9 +24,9 @@
 };
 
 /// Restricts a call to one incarnation of the server, because a server that restarts may take calls
-/// that were meant for its previous incarnation. A connection never outlives an incarnation, so each
-/// connection is checked once, before the first call on it. The server has to keep connections open
-/// after an answer. The functions have to be thread-safe.
+/// that were meant for its previous incarnation. A connection never outlives an incarnation, so
+/// each connection is checked once, before the first call on it. The server has to keep connections
+/// open after an answer. The functions have to be thread-safe.
 struct HttpPeerCheck
 {
     /// Incarnation that the call is meant for; if empty, the call is sent to any.
