Restart the long-running tasks of hosts that were lost with the holder in time

Cause: runs on hosts that are lost with the holder are in no lease record. When recovery ended, the new holder took their tasks for ones that never ran: they came after overdue restarts, got no room of their own, and their downtime began with its claim, anew with each change of the holder.

Change: if hosts did not report until recovery ended, a long-running task without a run is a restart if others of its step run, or if the lost hosts had room for all such tasks. Its downtime counts from the last heartbeat of the holder that lost power; the lease record hands that time on during recovery. 8029 tells the number of lost hosts.

Tests that failed with the mechanism out: fleet_test, "the tasks of a host that was lost with the holder are restarts", both subcases. New with it: dispatch_test, "after a recovery a long-running task that a lost host may have run is a restart".

--- a/packages/dispatch/dispatcher.cpp
+++ b/packages/dispatch/dispatcher.cpp
@@ -516,6 +516,65 @@
     return !step.longRunning || leavesRoomForUrgentTasks(dispatcher.fleet, step);
 }
 
+/// Returns whether a long-running task has no run that this holder knows.
+bool hasUnknownPast(const TaskRuntime &task)
+{
+    return task.phase == TaskPhase::Waiting && task.run == 0;
+}
+
+bool anyTaskRuns(const StepRuntime &step)
+{
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskRuntime &task) {
+        return task.run > 0 && task.phase != TaskPhase::Waiting;
+    });
+}
+
+void presumeLost(StepRuntime &step, TimePoint downSince)
+{
+    for (TaskRuntime &task : step.tasks) {
+        if (hasUnknownPast(task)) {
+            // Its number is not known; those of this holder are higher in any case.
+            task.run = 1;
+            task.downSince = std::min(task.downSince, downSince);
+        }
+    }
+}
+
+/// Takes long-running tasks that have no run for tasks whose run was lost with its host, as
+/// described at endRecovery().
+void presumeLost(FleetState &fleet, const LostHosts &lost)
+{
+    std::vector<StepRuntime *> others;
+    std::int64_t otherMilliCores = 0;
+    for (const auto &[id, job] : fleet.jobs) {
+        for (std::size_t n = 0; n < job->steps.size(); ++n) {
+            StepRuntime &step = job->steps[n];
+            const StepSpec &spec = job->spec.steps[n];
+            if (!job->inRecovery || isTerminal(job->progress.outcome) || !spec.longRunning
+                || !step.dependenciesDone) {
+                continue;
+            }
+            if (anyTaskRuns(step)) {
+                presumeLost(step, lost.since);
+                continue;
+            }
+            others.push_back(&step);
+            otherMilliCores +=
+                spec.taskSize.milliCores
+                * std::count_if(step.tasks.begin(), step.tasks.end(), &hasUnknownPast);
+        }
+    }
+    std::int64_t largestHost = 0;
+    for (const auto &[id, host] : fleet.hosts) {
+        largestHost = std::max(largestHost, host.capacity.milliCores);
+    }
+    if (otherMilliCores <= static_cast<std::int64_t>(lost.count) * largestHost) {
+        for (StepRuntime *const step : others) {
+            presumeLost(*step, lost.since);
+        }
+    }
+}
+
 void startStep(Dispatcher &dispatcher, const ReadyStep &ready, StartRule rule, RoomCache &roomCache,
                Orders &orders, TimePoint now)
 {
@@ -768,8 +827,11 @@
     removeAllRuns(*state);
 }
 
-void endRecovery(Dispatcher &dispatcher)
+void endRecovery(Dispatcher &dispatcher, const std::optional<LostHosts> &lost)
 {
+    if (lost) {
+        presumeLost(dispatcher.fleet, *lost);
+    }
     for (auto &[id, job] : dispatcher.fleet.jobs) {
         job->inRecovery = false;
     }
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -135,9 +135,19 @@
 void declareRunsLost(Dispatcher &dispatcher, const HostId &host, const std::string &reason,
                      TimePoint now);
 
+/// Hosts of an earlier holder that were lost before they reported to this one.
+struct LostHosts
+{
+    std::size_t count = 0;
+    /// A time when they may still have been present.
+    TimePoint since;
+};
+
 /// Ends the recovery after a change of the holder. From now on, tasks that no host has reported are
-/// known not to be running and may start.
-void endRecovery(Dispatcher &dispatcher);
+/// known not to be running and may start. If hosts were lost, long-running tasks without a run
+/// count as restarts: those of steps of which other tasks run, because these were started together,
+/// and all others if the lost hosts had room for them.
+void endRecovery(Dispatcher &dispatcher, const std::optional<LostHosts> &lost = std::nullopt);
 
 /// Returns whether the host list is too old to start tasks.
 bool isHostListOld(const Dispatcher &dispatcher, TimePoint now);
--- a/packages/dispatch/dispatcher_test.cpp
+++ b/packages/dispatch/dispatcher_test.cpp
@@ -797,6 +797,50 @@
     CHECK(plan(dispatcher, at(2)).starts.size() == 1);
 }
 
+// Guards against a restart that comes after tasks that never ran, because the new holder does not
+// know that the task ran on a host that was lost before it reported. Review, case 7.
+TEST_CASE("after a recovery a long-running task that a lost host may have run is a restart")
+{
+    Dispatcher dispatcher;
+    addHost(dispatcher, "h");
+    JobSpec spec = job("j", {step(2, 1000)});
+    spec.steps[0].longRunning = true;
+    addJob(dispatcher, spec, emptyProgress(spec), 0, true, at(10'000));
+    const TaskRuntime &task = *findTask(dispatcher.fleet, {.job = {"j"}, .index = 1});
+    const auto reportSibling = [&] {
+        const HostReport listing{.active = {{.task = key("j"), .run = 1}}};
+        applyReport(dispatcher, {"h"}, listing, at(10'010), true, at(10'010));
+    };
+    SUBCASE("another task of the step runs")
+    {
+        reportSibling();
+        endRecovery(dispatcher, LostHosts{.count = 0, .since = at(7000)});
+        CHECK(task.run > 0);
+        CHECK(task.downSince == at(7000));
+    }
+    SUBCASE("no task of the step runs, and the lost hosts had room for all such tasks")
+    {
+        endRecovery(dispatcher, LostHosts{.count = 1, .since = at(7000)});
+        CHECK(task.run > 0);
+        CHECK(task.downSince == at(7000));
+    }
+    SUBCASE("the lost hosts did not have room for all tasks without a run")
+    {
+        JobSpec wide = job("wide", {step(100, 1000)});
+        wide.steps[0].longRunning = true;
+        addJob(dispatcher, wide, emptyProgress(wide), 0, true, at(10'000));
+        endRecovery(dispatcher, LostHosts{.count = 1, .since = at(7000)});
+        CHECK(task.run == 0);
+    }
+    SUBCASE("all hosts have reported")
+    {
+        reportSibling();
+        endRecovery(dispatcher);
+        CHECK(task.run == 0);
+        CHECK(task.downSince == at(10'000));
+    }
+}
+
 // Guards against starting a task in an evacuated failure domain or on a leaving host.
 TEST_CASE("evacuated and leaving hosts get no task")
 {
--- a/packages/fleet/fleet_test.cpp
+++ b/packages/fleet/fleet_test.cpp
@@ -1778,6 +1778,43 @@
     cluster.runOnLoop([&] { CHECK(taskOfHolder(2)->downSince < goneAt + milliseconds(100)); });
 }
 
+// The same for a host that was lost with the holder, so that no record names its runs. Review,
+// case 7.
+TEST_CASE("after a loss of power the tasks of a host that was lost with the holder are restarts")
+{
+    Cluster cluster(2);
+    cluster.startHolder(1);
+    JobSpec job = oneTaskJob("j");
+    job.steps[0].longRunning = true;
+    job.steps[0].tasks = 2;
+    job.steps[0].maxTasksPerHost = 1;
+    cluster.submit(job);
+    REQUIRE(cluster.waitUntilRunning("j"));
+    const TaskKey second{.job = {"j"}, .index = 1};
+    REQUIRE(eventually(cluster.loop, [&] { return cluster.hosts.activeRuns(second) == 1; }));
+    const std::string lost = cluster.hostOf("j");
+    cluster.silenceHost(lost, true);
+    cluster.stopHolderAtOnce(1);
+    const TimePoint lostAt = bootClockNow();
+    std::this_thread::sleep_for(milliseconds(100));
+    cluster.startHolder(2, {}, milliseconds(100));
+    int epoch = 2;
+    SUBCASE("one holder recovers")
+    {
+    }
+    SUBCASE("the next holder is stopped as planned")
+    {
+        std::this_thread::sleep_for(milliseconds(200));
+        cluster.stopHolderAsPlanned(2);
+        cluster.startHolder(++epoch);
+    }
+    const auto task = [&] {
+        return findTask(cluster.holders[epoch]->dispatcher().fleet, taskOf("j"));
+    };
+    REQUIRE(eventually(cluster.loop, [&] { return task() != nullptr && task()->run > 0; }));
+    cluster.runOnLoop([&] { CHECK(task()->downSince < lostAt + milliseconds(50)); });
+}
+
 // Guards against one silent host that holds up the tasks of all jobs under a new holder.
 TEST_CASE("after a planned stop only the tasks of a silent host wait for its lease")
 {
--- a/packages/fleet/holder.cpp
+++ b/packages/fleet/holder.cpp
@@ -153,6 +153,7 @@
     void inheritRuns(TimePoint now);
     void openLinks();
     bool isUnknown(const HostId &id) const;
+    std::optional<LostHosts> lostHosts() const;
     internal::LeaseRecord leaseRecord(bool stopped, TimePoint now) const;
     std::map<HostId, Endpoint> rosterHosts() const;
     void writeRoster();
@@ -235,6 +236,11 @@
     std::map<TaskKey, InheritedWait> inheritedWaits;
     /// Whether that has been done.
     bool runsInherited = false;
+    /// When hosts that have not reported to this holder may have been lost; unset if the previous
+    /// one left no host with unknown runs.
+    std::optional<TimePoint> recoveringSince;
+    /// Number of such hosts that have been removed.
+    std::size_t unknownHostsRemoved = 0;
     TimePoint startedAt = bootClockNow();
     /// Hosts of the platform's last host list, as stored in the roster.
     std::map<HostId, Endpoint> listedHosts;
@@ -494,6 +500,19 @@
     return host == dispatcher.fleet.hosts.end() || !host->second.reported;
 }
 
+/// Returns the hosts of earlier holders that have not reported to this one; nullopt if there are
+/// none or recovery has finished.
+std::optional<LostHosts> FleetHolder::Impl::lostHosts() const
+{
+    const auto unknown = static_cast<std::size_t>(
+        std::count_if(inheritedHosts.begin(), inheritedHosts.end(),
+                      [this](const auto &entry) { return isUnknown(entry.first); }));
+    const std::size_t count = unknown + unknownHostsRemoved;
+    return recoveryFinished || !recoveringSince || count == 0
+               ? std::nullopt
+               : std::optional(LostHosts{.count = count, .since = *recoveringSince});
+}
+
 /// Returns what is known of the leases; if @p stopped, of all leases, otherwise of those that this
 /// holder does not extend.
 internal::LeaseRecord FleetHolder::Impl::leaseRecord(bool stopped, TimePoint now) const
@@ -564,6 +583,9 @@
     if (dispatcher.fleet.dirty.empty()) {
         addWaitingRestarts(record, now);
     }
+    if (const auto lost = lostHosts()) {
+        record.recovering = std::chrono::floor<milliseconds>(now - lost->since);
+    }
     logEvent(EventId::LeasesHandedOver,
              {{"epoch", std::to_string(options.epoch)},
               {"hosts", std::to_string(record.hosts.size())},
@@ -607,6 +629,7 @@
         declareRunsLost(dispatcher, it->first,
                         "the host is not in the host list any more and its lease has expired", now);
         minTokenCounter = std::max(minTokenCounter, it->second.tokenCounter + 1);
+        unknownHostsRemoved += isUnknown(it->first) ? 1 : 0;
         dispatcher.fleet.hosts.erase(it->first);
         inheritedHosts.erase(it->first);
         it = links.erase(it);
@@ -647,6 +670,11 @@
         unknown += runs ? 0 : 1;
         inheritedHosts[id] = {.leaseEnd = leaseEnd, .runs = std::move(runs)};
     }
+    if (!usable || !record.stopped) {
+        recoveringSince = std::min(stoppedAt, options.previous.heartbeatSeenAt.value_or(stoppedAt));
+    } else if (record.recovering) {
+        recoveringSince = recordMadeBy - *record.recovering;
+    }
     if (usable && record.stopped) {
         for (const auto &[key, task] : record.waiting) {
             inheritedWaits[key] = {.lastRun = task.lastRun,
@@ -737,12 +765,14 @@
     if (options.epoch > 1 && !(allHostsKnownAt && ensureJobChangesRead(*allHostsKnownAt, now))) {
         return;
     }
+    const std::optional<LostHosts> lost = lostHosts();
+    endRecovery(dispatcher, lost);
     recoveryFinished = true;
-    endRecovery(dispatcher);
     if (options.epoch > 1) {
         logEvent(
             EventId::RecoveryFinished,
             {{"epoch", std::to_string(options.epoch)},
+             {"lost_hosts", std::to_string(lost ? lost->count : 0)},
              {"waited_ms",
               std::to_string(std::chrono::duration_cast<milliseconds>(now - startedAt).count())}});
     }
--- a/packages/fleet/internal/leaserecord.cpp
+++ b/packages/fleet/internal/leaserecord.cpp
@@ -127,10 +127,13 @@
     }
     std::vector<std::string> rows;
     for (const RowText &text : texts) {
-        const json fields{{"epoch", record.epoch},
-                          {"stopped", record.stopped},
-                          {"since_heartbeat_ms", record.sinceHeartbeat.count()},
-                          {"rows", texts.size()}};
+        json fields{{"epoch", record.epoch},
+                    {"stopped", record.stopped},
+                    {"since_heartbeat_ms", record.sinceHeartbeat.count()},
+                    {"rows", texts.size()}};
+        if (record.recovering) {
+            fields["recovering_ms"] = record.recovering->count();
+        }
         std::string row = fields.dump();
         row.pop_back();
         row.append(",\"hosts\":{").append(text.hosts).append("},\"waiting\":[");
@@ -152,6 +155,9 @@
             if (row.at("rows").get<std::size_t>() != rows.size()) {
                 return failure(ResultCode::CorruptSnapshot, "a row is missing", "lease record");
             }
+            if (row.contains("recovering_ms")) {
+                record.recovering = milliseconds(row.at("recovering_ms").get<std::int64_t>());
+            }
             addHosts(row, record);
             addWaiting(row, record);
         }
--- a/packages/fleet/internal/leaserecord.h
+++ b/packages/fleet/internal/leaserecord.h
@@ -51,6 +51,9 @@
     /// If the holder had stopped: long-running tasks that wait for a restart, and that no host
     /// runs.
     std::map<TaskKey, WaitingTask> waiting;
+    /// If the holder had stopped before it knew what became of all hosts of an earlier holder: time
+    /// since they may have been lost.
+    std::optional<milliseconds> recovering;
     /// Time between the sending of the holder's last confirmed heartbeat and the making of this
     /// record. A daemon that has seen that heartbeat, or a later one, knows when the record was
     /// made at the latest.
--- a/packages/fleet/leaserecord_test.cpp
+++ b/packages/fleet/leaserecord_test.cpp
@@ -17,7 +17,10 @@
 /// Returns a record of hosts with ten runs each.
 LeaseRecord recordOf(int hosts)
 {
-    LeaseRecord record{.epoch = 7, .stopped = true, .sinceHeartbeat = milliseconds(300)};
+    LeaseRecord record{.epoch = 7,
+                       .stopped = true,
+                       .recovering = milliseconds(900),
+                       .sinceHeartbeat = milliseconds(300)};
     for (int n = 0; n < hosts; ++n) {
         HostRuns runs;
         for (std::uint32_t index = 0; index < 10; ++index) {
@@ -46,6 +49,7 @@
     CHECK(decoded->epoch == record.epoch);
     CHECK(decoded->stopped);
     CHECK(decoded->waiting == record.waiting);
+    CHECK(decoded->recovering == record.recovering);
     CHECK(decoded->sinceHeartbeat == record.sinceHeartbeat);
     REQUIRE(decoded->hosts.size() == record.hosts.size());
     for (const auto &[id, lease] : record.hosts) {
